--- /dev/null
+++ b/coord/clock/instant.go
@@ -0,0 +1,28 @@
+package clock
+
+import "time"
+
+// Instant is a point of monotonic time of one process: the time since that
+// process made its first clock. It means nothing in another process. The zero
+// Instant is before every reading of a clock.
+type Instant time.Duration
+
+// Add returns the instant d later.
+func (i Instant) Add(d time.Duration) Instant {
+	return i + Instant(d)
+}
+
+// Sub returns the time from u to i.
+func (i Instant) Sub(u Instant) time.Duration {
+	return time.Duration(i - u)
+}
+
+// Before reports whether i is earlier than u.
+func (i Instant) Before(u Instant) bool {
+	return i < u
+}
+
+// After reports whether i is later than u.
+func (i Instant) After(u Instant) bool {
+	return i > u
+}
--- /dev/null
+++ b/coord/row/unavailable_error.go
@@ -0,0 +1,18 @@
+package row
+
+// UnavailableError reports that the table service refused a call or was never
+// reached. Nothing took effect.
+type UnavailableError struct {
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return "table service unavailable: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error {
+	return e.Err
+}
--- /dev/null
+++ b/coord/thread/status.go
@@ -0,0 +1,9 @@
+package thread
+
+// Status is the state of one duty, as shown in a dump.
+type Status struct {
+	// Duty is the name of the duty.
+	Duty string `json:"duty"`
+	// Alive is false after the duty has ended.
+	Alive bool `json:"alive"`
+}
--- /dev/null
+++ b/ctl/command/doc.go
@@ -0,0 +1,2 @@
+// Package command holds the commands of sycamorectl.
+package command
--- /dev/null
+++ b/daemon/command/doc.go
@@ -0,0 +1,2 @@
+// Package command holds the commands of sycamored.
+package command
