--- /dev/null
+++ b/edge/httpc/client.go
@@ -0,0 +1,236 @@
+package httpc
+
+import (
+	"os"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+	"golang.org/x/sys/unix"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+)
+
+// Client makes calls over reused connections. Start and Cancel may be called
+// by any thread; Run is the client's duty.
+type Client struct {
+	config Config
+	inbox  *ring.Ring[event]
+	engine *nbhttp.Engine
+	idle   map[string][]*connection
+}
+
+// New makes a client; Open starts its pollers.
+func New(config Config) *Client {
+	config = config.withDefaults()
+	return &Client{
+		config: config,
+		inbox:  ring.New[event](config.Name, config.Capacity),
+		idle:   make(map[string][]*connection),
+	}
+}
+
+// Open starts the pollers.
+func (c *Client) Open() error {
+	c.engine = nbhttp.NewEngine(nbhttp.Config{
+		NPoller:                c.config.Pollers,
+		LockPoller:             true,
+		ReadBufferSize:         32 << 10,
+		MessageHandlerPoolSize: 2,
+		SupportServerOnly:      true,
+	})
+	return c.engine.Start()
+}
+
+// Close ends the duty and all connections; open calls fail.
+func (c *Client) Close() {
+	c.inbox.Close()
+	c.engine.Stop()
+}
+
+// Start begins a call. When it fails, with a *ring.FullError or a
+// *ring.ClosedError, nothing was sent and the sink hears nothing.
+func (c *Client) Start(call *Call) error {
+	return c.inbox.Offer(event{call: call})
+}
+
+// Cancel gives a call up: its connection is closed, which the server sees, and
+// its sink hears Failed unless the answer ended first.
+func (c *Client) Cancel(call *Call) error {
+	return c.inbox.Offer(event{cancel: call})
+}
+
+// Stats returns a snapshot of the client's ring.
+func (c *Client) Stats() ring.Stats {
+	return c.inbox.Stats()
+}
+
+// Run is the duty that owns the connections. It returns after Close.
+func (c *Client) Run() error {
+	for {
+		e, err := c.inbox.Take()
+		if err != nil {
+			return nil
+		}
+		c.handle(e)
+	}
+}
+
+func (c *Client) handle(e event) {
+	switch {
+	case e.call != nil:
+		c.begin(e.call)
+	case e.cancel != nil:
+		c.cancel(e.cancel)
+	case e.connected != nil:
+		c.connected(e.connected)
+	case e.free != nil:
+		c.keep(e.free)
+	}
+}
+
+func (c *Client) begin(call *Call) {
+	for {
+		conn := c.takeIdle(call.Address)
+		if conn == nil {
+			c.dial(call)
+			return
+		}
+		if c.send(conn, call) {
+			return
+		}
+	}
+}
+
+func (c *Client) takeIdle(address string) *connection {
+	list := c.idle[address]
+	for len(list) > 0 {
+		conn := list[len(list)-1]
+		list = list[:len(list)-1]
+		c.idle[address] = list
+		if !conn.isClosed() {
+			return conn
+		}
+	}
+	delete(c.idle, address)
+	return nil
+}
+
+func (c *Client) dial(call *Call) {
+	// The callback runs on a poller, which must not be held up.
+	done := func(conn *nbio.Conn, err error) {
+		if offered := c.inbox.Offer(event{connected: &dialed{call: call, conn: conn, err: err}}); offered == nil {
+			return
+		}
+		if err == nil {
+			_ = conn.Close()
+		}
+		call.Sink.Failed(&NotSentError{Address: call.Address, Err: &CanceledError{}})
+	}
+	err := c.engine.DialAsyncTimeout("tcp", call.Address, c.config.ConnectTimeout, done)
+	if err != nil {
+		call.Sink.Failed(&NotSentError{Address: call.Address, Err: err})
+	}
+}
+
+func (c *Client) connected(d *dialed) {
+	err := d.err
+	if err == nil {
+		err = socketError(d.conn)
+	}
+	if err != nil {
+		if d.conn != nil {
+			_ = d.conn.Close()
+		}
+		d.call.Sink.Failed(&NotSentError{Address: d.call.Address, Err: causeOf(err, d.call)})
+		return
+	}
+	conn := &connection{address: d.call.Address, conn: d.conn, onFree: c.free}
+	parser := nbhttp.NewParser(d.conn, c.engine, conn, true, nil)
+	d.conn.SetSession(parser)
+	d.conn.OnData(c.engine.DataHandler)
+	if d.call.canceled {
+		d.call.Sink.Failed(&NotSentError{Address: d.call.Address, Err: &CanceledError{}})
+		c.keep(conn)
+		return
+	}
+	if !c.send(conn, d.call) {
+		d.call.Sink.Failed(&NotSentError{Address: d.call.Address, Err: &ClosedError{}})
+	}
+}
+
+// send writes the request. It returns false when the connection had ended
+// before the first byte; then the sink has heard nothing.
+func (c *Client) send(conn *connection, call *Call) bool {
+	out, err := call.encode()
+	if err != nil {
+		call.Sink.Failed(&NotSentError{Address: call.Address, Err: err})
+		c.keep(conn)
+		return true
+	}
+	if conn.isClosed() {
+		return false
+	}
+	_ = conn.conn.SetReadDeadline(deadline(call.Timeout))
+	call.conn = conn
+	conn.current.Store(call)
+	if conn.isClosed() && conn.current.CompareAndSwap(call, nil) {
+		return false
+	}
+	// A failed write closes the connection, and its end tells the sink.
+	_, _ = conn.conn.Write(out)
+	return true
+}
+
+func (c *Client) cancel(call *Call) {
+	call.canceled = true
+	if call.conn != nil && call.conn.current.Load() == call {
+		_ = call.conn.conn.CloseWithError(&CanceledError{})
+	}
+}
+
+// free runs on a poller at the end of an answer.
+func (c *Client) free(conn *connection) {
+	if c.inbox.Offer(event{free: conn}) != nil {
+		_ = conn.conn.Close()
+	}
+}
+
+func (c *Client) keep(conn *connection) {
+	list := c.idle[conn.address]
+	if len(list) >= c.config.MaxIdle {
+		_ = conn.conn.Close()
+		return
+	}
+	_ = conn.conn.SetReadDeadline(time.Now().Add(c.config.IdleTimeout))
+	c.idle[conn.address] = append(list, conn)
+}
+
+func deadline(limit time.Duration) time.Time {
+	if limit <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(limit)
+}
+
+// socketError returns why a connection could not be made, nil if it was.
+func socketError(conn *nbio.Conn) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var code int
+	var readErr error
+	err = raw.Control(func(fd uintptr) {
+		code, readErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+	})
+	switch {
+	case err != nil:
+		return err
+	case readErr != nil:
+		return os.NewSyscallError("getsockopt", readErr)
+	case code != 0:
+		return os.NewSyscallError("connect", unix.Errno(code))
+	}
+	return nil
+}
--- /dev/null
+++ b/edge/httpc/closed_error.go
@@ -0,0 +1,9 @@
+package httpc
+
+// ClosedError is the cause when the peer ended the connection.
+type ClosedError struct{}
+
+// Error implements error.
+func (*ClosedError) Error() string {
+	return "connection closed by the peer"
+}
--- /dev/null
+++ b/edge/httpd/exchange.go
@@ -0,0 +1,133 @@
+package httpd
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// Exchange is one request and the means to answer it. Its methods are called
+// by one thread at a time and never block; a write to a caller who is gone
+// fails with a *GoneError.
+type Exchange struct {
+	// Method is the HTTP method.
+	Method string
+	// Path is the decoded path.
+	Path string
+	// Query holds the parameters of the URL.
+	Query url.Values
+	// Header holds the fields of the request.
+	Header http.Header
+	// Body is the whole body.
+	Body []byte
+	// Remote is the caller's address.
+	Remote string
+	// Arrived is the time at which the request was whole.
+	Arrived time.Time
+
+	conn      net.Conn
+	state     *connection
+	idle      time.Duration
+	keepAlive bool
+	streaming bool
+}
+
+// Reply sends a whole answer and ends the exchange.
+func (x *Exchange) Reply(status int, header http.Header, body []byte) error {
+	defer x.finish()
+	res := x.response(status, header)
+	res.ContentLength = int64(len(body))
+	if x.Method != http.MethodHead {
+		res.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	return x.send(res)
+}
+
+// StartStream sends the head of an answer whose body follows in pieces.
+func (x *Exchange) StartStream(status int, header http.Header) error {
+	x.streaming = true
+	res := x.response(status, header)
+	var head bytes.Buffer
+	head.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
+	res.Header.Set("Transfer-Encoding", "chunked")
+	if res.Close {
+		res.Header.Set("Connection", "close")
+	}
+	if err := res.Header.Write(&head); err != nil {
+		return &GoneError{Err: err}
+	}
+	head.WriteString("\r\n")
+	return x.write(head.Bytes())
+}
+
+// WriteStream sends one piece of the body, which must not be empty.
+func (x *Exchange) WriteStream(piece []byte) error {
+	var chunk bytes.Buffer
+	chunk.Grow(len(piece) + 16)
+	w := httputil.NewChunkedWriter(&chunk)
+	if _, err := w.Write(piece); err != nil {
+		return &GoneError{Err: err}
+	}
+	return x.write(chunk.Bytes())
+}
+
+// EndStream ends the body and the exchange.
+func (x *Exchange) EndStream() error {
+	defer x.finish()
+	return x.write([]byte("0\r\n\r\n"))
+}
+
+// Abort cuts the connection, so that the caller can't take what it got for a
+// whole answer.
+func (x *Exchange) Abort() {
+	x.state.open.CompareAndSwap(x, nil)
+	_ = x.conn.Close()
+}
+
+// IsStreaming reports whether the head of a streamed answer was sent.
+func (x *Exchange) IsStreaming() bool {
+	return x.streaming
+}
+
+func (x *Exchange) response(status int, header http.Header) *http.Response {
+	if header == nil {
+		header = http.Header{}
+	}
+	return &http.Response{
+		StatusCode: status,
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Header:     header,
+		Close:      !x.keepAlive,
+	}
+}
+
+func (x *Exchange) send(res *http.Response) error {
+	var out bytes.Buffer
+	if err := res.Write(&out); err != nil {
+		return &GoneError{Err: err}
+	}
+	return x.write(out.Bytes())
+}
+
+func (x *Exchange) write(p []byte) error {
+	if _, err := x.conn.Write(p); err != nil {
+		return &GoneError{Err: err}
+	}
+	return nil
+}
+
+// finish frees the connection for its next request, or ends it.
+func (x *Exchange) finish() {
+	x.state.open.CompareAndSwap(x, nil)
+	if !x.keepAlive {
+		_ = x.conn.Close()
+		return
+	}
+	_ = x.conn.SetReadDeadline(time.Now().Add(x.idle))
+}
--- /dev/null
+++ b/edge/httpd/server.go
@@ -0,0 +1,121 @@
+package httpd
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// handlerPool is the number of goroutines that run decoded requests. They only
+// copy and offer, so a few are enough for any load.
+const handlerPool = 4
+
+// Server accepts connections and hands decoded requests to a Handler.
+type Server struct {
+	config  Config
+	handler Handler
+	engine  *nbhttp.Engine
+	address string
+}
+
+// New makes a server; Open starts it.
+func New(config Config, handler Handler) *Server {
+	return &Server{config: config.withDefaults(), handler: handler}
+}
+
+// Open listens and serves until Close. It fails with a *ListenError.
+func (s *Server) Open() error {
+	ln, err := net.Listen("tcp", s.config.Address)
+	if err != nil {
+		return &ListenError{Address: s.config.Address, Err: err}
+	}
+	s.address = ln.Addr().String()
+	s.engine = nbhttp.NewEngine(nbhttp.Config{
+		Network:                "tcp",
+		Addrs:                  []string{s.address},
+		Listen:                 func(string, string) (net.Listener, error) { return ln, nil },
+		Handler:                http.HandlerFunc(s.serve),
+		NPoller:                s.config.Pollers,
+		LockPoller:             true,
+		MaxLoad:                s.config.MaxConnections,
+		MaxHTTPBodySize:        s.config.MaxBodyBytes,
+		ReadLimit:              s.config.MaxBodyBytes + s.config.MaxHeaderBytes,
+		ReadBufferSize:         16 << 10,
+		MaxWriteBufferSize:     s.config.MaxWriteBytes,
+		MessageHandlerPoolSize: handlerPool,
+		KeepaliveTime:          s.config.IdleTimeout,
+		SupportServerOnly:      true,
+	})
+	if err := s.engine.Start(); err != nil {
+		return &ListenError{Address: s.config.Address, Err: err}
+	}
+	return nil
+}
+
+// Address returns the IP and port listened on, known after Open.
+func (s *Server) Address() string {
+	return s.address
+}
+
+// Close ends the listener and all connections.
+func (s *Server) Close() {
+	s.engine.Stop()
+}
+
+// serve runs on a goroutine of the library: it copies the request, takes over
+// the connection and hands the exchange on.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	res, ok := w.(*nbhttp.Response)
+	if !ok {
+		return
+	}
+	parser := res.Parser
+	conn, _, err := res.Hijack()
+	if err != nil {
+		return
+	}
+	state := s.stateOf(parser)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	x := &Exchange{
+		Method:    r.Method,
+		Path:      r.URL.Path,
+		Query:     r.URL.Query(),
+		Header:    r.Header.Clone(),
+		Body:      body,
+		Remote:    r.RemoteAddr,
+		Arrived:   time.Now(),
+		conn:      conn,
+		state:     state,
+		idle:      s.config.IdleTimeout,
+		keepAlive: !r.Close,
+	}
+	if !state.open.CompareAndSwap(nil, x) {
+		// A request was sent before the answer to the last one had ended. The
+		// bytes of that answer must stay whole, so this request is not served.
+		_ = conn.Close()
+		return
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	s.handler.Serve(x)
+}
+
+// stateOf returns the state of a connection, made at its first request.
+func (s *Server) stateOf(parser *nbhttp.Parser) *connection {
+	if state, ok := parser.Processor.(*connection); ok {
+		return state
+	}
+	processor, ok := parser.Processor.(*nbhttp.ServerProcessor)
+	if !ok {
+		processor = &nbhttp.ServerProcessor{}
+	}
+	state := &connection{ServerProcessor: processor, handler: s.handler}
+	parser.Processor = state
+	return state
+}
--- /dev/null
+++ b/serving/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet describes the instances of the cloud as the system knows them.
+package fleet
--- /dev/null
+++ b/serving/request/doc.go
@@ -0,0 +1,2 @@
+// Package request describes a request, its answer and its outcome.
+package request
