httpc: set the parser up on the poller that reads the connection

Cause: the duty set the session of a new connection while the library's pool could already end it; the race detector saw it in one of three runs. Ruled out: the write of current, which is atomic. Change: the dial callback, which runs on the reading poller, sets it up. After: 25 runs of the package under -race without a report.

--- a/edge/httpc/client.go
+++ b/edge/httpc/client.go
@@ -117,13 +117,18 @@
 }
 
 func (c *Client) dial(call *Call) {
-	// The callback runs on a poller, which must not be held up.
-	done := func(conn *nbio.Conn, err error) {
-		if offered := c.inbox.Offer(event{connected: &dialed{call: call, conn: conn, err: err}}); offered == nil {
+	// The callback runs on the poller that will read the connection. The
+	// parser is set up there, so that no later event finds it missing.
+	done := func(raw *nbio.Conn, err error) {
+		d := &dialed{call: call, err: err}
+		if err == nil {
+			d.conn, d.err = c.setUp(raw, call.Address)
+		}
+		if c.inbox.Offer(event{connected: d}) == nil {
 			return
 		}
-		if err == nil {
-			_ = conn.Close()
+		if d.conn != nil {
+			_ = raw.Close()
 		}
 		call.Sink.Failed(&NotSentError{Address: call.Address, Err: &CanceledError{}})
 	}
@@ -133,29 +138,30 @@
 	}
 }
 
-func (c *Client) connected(d *dialed) {
-	err := d.err
-	if err == nil {
-		err = socketError(d.conn)
+func (c *Client) setUp(raw *nbio.Conn, address string) (*connection, error) {
+	if err := socketError(raw); err != nil {
+		_ = raw.Close()
+		return nil, err
 	}
-	if err != nil {
-		if d.conn != nil {
-			_ = d.conn.Close()
-		}
-		d.call.Sink.Failed(&NotSentError{Address: d.call.Address, Err: causeOf(err, d.call)})
+	conn := &connection{address: address, conn: raw, onFree: c.free}
+	raw.SetSession(nbhttp.NewParser(raw, c.engine, conn, true, nil))
+	raw.OnData(c.engine.DataHandler)
+	return conn, nil
+}
+
+func (c *Client) connected(d *dialed) {
+	address := d.call.Address
+	if d.err != nil {
+		d.call.Sink.Failed(&NotSentError{Address: address, Err: causeOf(d.err, d.call)})
 		return
 	}
-	conn := &connection{address: d.call.Address, conn: d.conn, onFree: c.free}
-	parser := nbhttp.NewParser(d.conn, c.engine, conn, true, nil)
-	d.conn.SetSession(parser)
-	d.conn.OnData(c.engine.DataHandler)
 	if d.call.canceled {
-		d.call.Sink.Failed(&NotSentError{Address: d.call.Address, Err: &CanceledError{}})
-		c.keep(conn)
+		d.call.Sink.Failed(&NotSentError{Address: address, Err: &CanceledError{}})
+		c.keep(d.conn)
 		return
 	}
-	if !c.send(conn, d.call) {
-		d.call.Sink.Failed(&NotSentError{Address: d.call.Address, Err: &ClosedError{}})
+	if !c.send(d.conn, d.call) {
+		d.call.Sink.Failed(&NotSentError{Address: address, Err: &ClosedError{}})
 	}
 }
 
