--- /dev/null
+++ b/serving/answer/doc.go
@@ -0,0 +1,2 @@
+// Package answer keeps an answer as its pieces arrive.
+package answer
--- /dev/null
+++ b/serving/dispatch/abort.go
@@ -0,0 +1,11 @@
+package dispatch
+
+// Abort stops an attempt at its upstream.
+type Abort struct {
+	// Ref names the attempt.
+	Ref Ref
+	// Address is the IP and port of the upstream.
+	Address string
+}
+
+func (Abort) isAction() {}
--- /dev/null
+++ b/serving/dispatch/config.go
@@ -0,0 +1,64 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/attempt"
+	"github.com/sycamorecourse/sycamorecourse/serving/admit"
+	"github.com/sycamorecourse/sycamorecourse/serving/route"
+)
+
+// Config sets up a Core. The zero value of each field but Holder takes its
+// default.
+type Config struct {
+	// Holder names this gateway in the records of attempts.
+	Holder attempt.Holder
+	// Window bounds the time from the claim of an attempt to its first byte.
+	// Default 5 s with a margin of 100 ms.
+	Window attempt.Window
+	// MaxRequests bounds the requests kept, ended ones included. Default 4096.
+	MaxRequests int
+	// MaxAttempts bounds the attempts of one request. Default 4.
+	MaxAttempts int
+	// Retention is how long an ended answer is kept for callers that ask for it
+	// by its key. Default 60 s.
+	Retention time.Duration
+	// ResumeGrace is how long an idempotent request goes on without a caller.
+	// Default 10 s.
+	ResumeGrace time.Duration
+	// LeaveMargin is how long before the end of its instance a request is moved
+	// away. Default 500 ms.
+	LeaveMargin time.Duration
+	// MaxInlineBytes bounds the answers that are kept in the record of a
+	// non-idempotent request. Default 8 KiB.
+	MaxInlineBytes int
+	// Route sets up the choice of upstreams.
+	Route route.Config
+	// Queue sets up the queue of requests that wait for an upstream.
+	Queue admit.Config
+}
+
+func (c Config) withDefaults() Config {
+	if c.Window.Length <= 0 {
+		c.Window = attempt.Window{Length: 5 * time.Second, Margin: 100 * time.Millisecond}
+	}
+	if c.MaxRequests <= 0 {
+		c.MaxRequests = 4096
+	}
+	if c.MaxAttempts <= 0 {
+		c.MaxAttempts = 4
+	}
+	if c.Retention <= 0 {
+		c.Retention = time.Minute
+	}
+	if c.ResumeGrace <= 0 {
+		c.ResumeGrace = 10 * time.Second
+	}
+	if c.LeaveMargin <= 0 {
+		c.LeaveMargin = 500 * time.Millisecond
+	}
+	if c.MaxInlineBytes <= 0 {
+		c.MaxInlineBytes = 8 << 10
+	}
+	return c
+}
--- /dev/null
+++ b/serving/dispatch/entry.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import (
+	"github.com/sycamorecourse/sycamorecourse/coord/attempt"
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/admit"
+	"github.com/sycamorecourse/sycamorecourse/serving/answer"
+	"github.com/sycamorecourse/sycamorecourse/serving/request"
+	"github.com/sycamorecourse/sycamorecourse/serving/route"
+)
+
+// entry is what a Core knows of one request.
+type entry struct {
+	seq         uint64
+	request     request.Request
+	fingerprint attempt.Fingerprint
+	created     int64
+	target      target
+	handle      Handle
+	isAccepted  bool
+	phase       phase
+	arrived     clock.Instant
+	deadline    clock.Instant
+
+	queued  admit.Entry
+	blocks  []uint64
+	tokens  int
+	tried   []string
+	choice  route.Choice
+	attempt int
+
+	sentAt     clock.Instant
+	lastToken  clock.Instant
+	started    bool // the current attempt has a choice that the router counts
+	firstSeen  bool // the current attempt has given a token
+	mayHaveRun bool // an attempt was sent and not refused by its upstream
+	reattached bool // since the last token
+
+	log        answer.Log
+	forwarded  int
+	recomputed int
+	isDetached bool
+	detachedAt clock.Instant
+
+	claim   *attempt.Claim
+	serial  uint64
+	pending bool // a call to the table service is outstanding
+	ended   clock.Instant
+	summary request.Summary
+}
+
+func (e *entry) ref() Ref {
+	return Ref{ID: e.request.ID, Number: e.attempt}
+}
+
+// isCurrent reports whether a reference names the running attempt.
+func (e *entry) isCurrent(ref Ref) bool {
+	return e.phase == phaseRunning && ref.Number == e.attempt
+}
+
+func (e *entry) isTracked() bool {
+	return e.phase != phaseEnded || e.pending
+}
--- a/serving/request/request.go
+++ b/serving/request/request.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Request is a request to a model engine, as decoded and authenticated.
+// Request is a request to a model engine or plain service, as decoded and
+// authenticated.
 type Request struct {
 	// ID names the request.
 	ID ID `cbor:"1,keyasint"`
@@ -25,4 +26,6 @@
 	Deadline time.Duration `cbor:"9,keyasint"`
 	// Streamed answers are sent in pieces.
 	Streamed bool `cbor:"10,keyasint"`
+	// Call is set for a call of a plain service, nil for a model engine.
+	Call *Call `cbor:"11,keyasint"`
 }
