--- /dev/null
+++ b/serving/admit/line.go
@@ -0,0 +1,143 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+)
+
+// line holds the flows of one pool, with weighted fair queueing between them.
+type line struct {
+	pool  string
+	flows []*flow
+	// virtual is the virtual time: the work dispatched for each unit of share.
+	virtual float64
+	// work is the predicted work waiting.
+	work time.Duration
+	// waiting and running count the entries.
+	waiting, running int
+	// firstToken corrects the predictions of the first token.
+	firstToken errorEstimate
+}
+
+func (l *line) add(f *flow) {
+	f.position = len(l.flows)
+	f.finish = l.virtual
+	l.flows = append(l.flows, f)
+}
+
+func (l *line) remove(f *flow) {
+	last := len(l.flows) - 1
+	moved := l.flows[last]
+	l.flows[f.position] = moved
+	moved.position = f.position
+	l.flows[last] = nil
+	l.flows = l.flows[:last]
+}
+
+func (l *line) isIdle() bool {
+	return l.waiting == 0 && l.running == 0
+}
+
+// throughput is the work done in a unit of time: each dispatched entry does
+// one second of work a second.
+func (l *line) throughput() float64 {
+	return float64(max(l.running, 1))
+}
+
+// next returns the flow whose head is to be dispatched, passing over flows
+// that were probed in this call. Flows that are ahead of their share wait;
+// among the others the latest start decides, on-time entries first.
+func (l *line) next(cfg *Config, call uint64, now clock.Instant) *flow {
+	least, shares := l.leastStart(now)
+	if shares == 0 {
+		return nil
+	}
+	ahead := cfg.FairnessLag.Seconds() * l.throughput() / shares
+	var best, behind *flow
+	for _, f := range l.flows {
+		if f.len() == 0 || f.probed == call {
+			continue
+		}
+		if f.start() > least+ahead {
+			if behind == nil || f.start() < behind.start() {
+				behind = f
+			}
+			continue
+		}
+		if best == nil || f.isMoreUrgent(best) {
+			best = f
+		}
+	}
+	if best == nil {
+		return behind
+	}
+	return best
+}
+
+// leastStart returns the least virtual start of the flows with entries, and
+// the sum of their shares.
+func (l *line) leastStart(now clock.Instant) (least, shares float64) {
+	for _, f := range l.flows {
+		if f.len() == 0 {
+			continue
+		}
+		f.demote(now)
+		if start := f.start(); shares == 0 || start < least {
+			least = start
+		}
+		shares += f.account.share()
+	}
+	return least, shares
+}
+
+// isMoreUrgent compares the heads of two flows.
+func (f *flow) isMoreUrgent(g *flow) bool {
+	a, b := f.head(), g.head()
+	if a.late != b.late {
+		return b.late
+	}
+	if a.late {
+		return f.start() < g.start()
+	}
+	return a.startBy < b.startBy
+}
+
+// mostExcess returns the flow that holds the most entries for its share.
+func (l *line) mostExcess() *flow {
+	var most *flow
+	for _, f := range l.flows {
+		if f.len() > 0 && (most == nil || f.excess() > most.excess()) {
+			most = f
+		}
+	}
+	return most
+}
+
+// wait predicts how long a new entry of a flow waits. The flow gets at least
+// its share, and no entry waits longer than all the work takes.
+func (l *line) wait(f *flow, startBy clock.Instant) time.Duration {
+	if l.waiting == 0 {
+		return 0
+	}
+	shares := f.account.share()
+	for _, g := range l.flows {
+		if g != f && g.len() > 0 {
+			shares += g.account.share()
+		}
+	}
+	own := f.workBefore(startBy).Seconds() * shares / f.account.share()
+	seconds := min(own, l.work.Seconds()) / l.throughput()
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// workBefore is the work of the flow that has to start before an instant.
+func (f *flow) workBefore(startBy clock.Instant) time.Duration {
+	var work time.Duration
+	for _, it := range f.onTime.items {
+		if it.startBy <= startBy {
+			work += it.entry.PredictedWork
+		}
+	}
+	return work
+}
--- /dev/null
+++ b/serving/admit/refused_error.go
@@ -0,0 +1,21 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/serving/request"
+)
+
+// RefusedError reports that a request was not taken. It has not been run.
+type RefusedError struct {
+	// Reason is request.Overloaded, request.LimitReached or
+	// request.DeadlineUnmet.
+	Reason request.Reason
+	// RetryAfter is when the caller may try again.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return "refused: " + string(e.Reason) + ", retry after " + e.RetryAfter.String()
+}
--- /dev/null
+++ b/serving/route/pool.go
@@ -0,0 +1,22 @@
+package route
+
+// pool is a group of like upstreams.
+type pool struct {
+	members []*upstream
+	// turn is the next position of the round robin.
+	turn int
+}
+
+func (p *pool) add(u *upstream) {
+	u.position = len(p.members)
+	p.members = append(p.members, u)
+}
+
+func (p *pool) remove(u *upstream) {
+	last := len(p.members) - 1
+	moved := p.members[last]
+	p.members[u.position] = moved
+	moved.position = u.position
+	p.members[last] = nil
+	p.members = p.members[:last]
+}
