attempt: the at-most-once record of a request

Cause: a non-idempotent request must run at most once although its holder pauses, crashes or loses the answer of a write.

--- /dev/null
+++ b/coord/attempt/duplicate.go
@@ -0,0 +1,13 @@
+package attempt
+
+// Duplicate says that the request is recorded already, and that this claim
+// never sends it. The caller gets the answer of a Completed record, the stream
+// of the holder of a Claimed one, and the outcome unknown otherwise.
+type Duplicate struct {
+	// Record is the record that was found.
+	Record Record
+	// Version is the version of its row.
+	Version uint64
+}
+
+func (Duplicate) isStep() {}
--- /dev/null
+++ b/coord/attempt/fingerprint.go
@@ -0,0 +1,24 @@
+package attempt
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Fingerprint is a digest of the content of a request. It tells a repetition
+// from another request under the same key.
+type Fingerprint uint64
+
+// FingerprintOf returns the digest of the parts in their order. The parts are
+// delimited, so ("ab", "c") and ("a", "bc") differ.
+func FingerprintOf(parts ...[]byte) Fingerprint {
+	digest := xxhash.New()
+	for _, part := range parts {
+		var size [8]byte
+		binary.LittleEndian.PutUint64(size[:], uint64(len(part)))
+		_, _ = digest.Write(size[:])
+		_, _ = digest.Write(part)
+	}
+	return Fingerprint(digest.Sum64())
+}
--- /dev/null
+++ b/coord/attempt/holder.go
@@ -0,0 +1,9 @@
+package attempt
+
+// Holder is one run of a process that may hold claims.
+type Holder struct {
+	// Instance names the process.
+	Instance string `cbor:"1,keyasint"`
+	// Incarnation differs for each start of the process.
+	Incarnation uint64 `cbor:"2,keyasint"`
+}
--- /dev/null
+++ b/coord/attempt/store_error.go
@@ -0,0 +1,19 @@
+package attempt
+
+// StoreError reports that the table service could not be used.
+type StoreError struct {
+	// ID names the request.
+	ID ID
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *StoreError) Error() string {
+	return "request " + e.ID.String() + " can't be recorded: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *StoreError) Unwrap() error {
+	return e.Err
+}
--- /dev/null
+++ b/coord/internal/codec/decode_error.go
@@ -0,0 +1,17 @@
+package codec
+
+// DecodeError reports the value of a row that can't be understood.
+type DecodeError struct {
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *DecodeError) Error() string {
+	return "value of a row can't be decoded: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error {
+	return e.Err
+}
