Stand-in of the table service, and its client

The stand-in speaks the DynamoDB JSON protocol for GetItem, Query and TransactWriteItems. It runs on package host: one duty with one ring, timers, and the fault switches that all stand-ins will share. The client tells three failures of a write apart: conflict and unavailable have surely changed nothing, all others are unknown. An InternalServerError, an untyped 503, a cut connection and a timeout count as unknown.

--- /dev/null
+++ b/edge/platform/collect/doc.go
@@ -0,0 +1,2 @@
+// Package collect gathers the whole answer to an HTTP call.
+package collect
--- /dev/null
+++ b/edge/platform/collect/malformed_error.go
@@ -0,0 +1,17 @@
+package collect
+
+// MalformedError reports an answer that can't be decoded.
+type MalformedError struct {
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *MalformedError) Error() string {
+	return "malformed answer: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *MalformedError) Unwrap() error {
+	return e.Err
+}
--- /dev/null
+++ b/edge/platform/table/get_response.go
@@ -0,0 +1,6 @@
+package table
+
+// getResponse is the answer to GetItem.
+type getResponse struct {
+	Item item
+}
--- /dev/null
+++ b/edge/platform/table/query_request.go
@@ -0,0 +1,18 @@
+package table
+
+// conditionPartition and conditionPrefix are the key conditions of a query.
+// The protocol does not allow an empty prefix.
+const (
+	conditionPartition = "pk = :pk"
+	conditionPrefix    = "pk = :pk AND begins_with(sk, :sk)"
+)
+
+// queryRequest is the body of Query.
+type queryRequest struct {
+	TableName                 string
+	KeyConditionExpression    string
+	ExpressionAttributeValues item
+	ExclusiveStartKey         item `json:",omitempty"`
+	Limit                     int
+	ConsistentRead            bool
+}
--- /dev/null
+++ b/standin/host/call.go
@@ -0,0 +1,112 @@
+package host
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"github.com/sycamorecourse/sycamorecourse/edge/httpd"
+)
+
+// Call is one request to a stand-in and the means to answer it, under the
+// fault switches. Only the duty of the host uses it.
+type Call struct {
+	// Method is the HTTP method.
+	Method string
+	// Path is the decoded path.
+	Path string
+	// Query holds the parameters of the URL.
+	Query url.Values
+	// Header holds the fields of the request.
+	Header http.Header
+	// Body is the whole body.
+	Body []byte
+
+	host       *Host
+	exchange   *httpd.Exchange
+	exempt     bool
+	loseAnswer bool
+	ended      bool
+}
+
+// Reply sends a whole answer and ends the call.
+func (c *Call) Reply(status int, header http.Header, body []byte) {
+	c.act(func() {
+		c.end()
+		_ = c.exchange.Reply(status, header, body)
+	})
+}
+
+// ReplyJSON sends v as a whole answer and ends the call.
+func (c *Call) ReplyJSON(status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		c.Reply(http.StatusInternalServerError, nil, nil)
+		return
+	}
+	c.Reply(status, http.Header{"Content-Type": {"application/json"}}, body)
+}
+
+// StartStream sends the head of an answer whose body follows in pieces.
+func (c *Call) StartStream(status int, header http.Header) {
+	c.act(func() { c.check(c.exchange.StartStream(status, header)) })
+}
+
+// WriteStream sends one piece of the body.
+func (c *Call) WriteStream(piece []byte) {
+	c.act(func() { c.check(c.exchange.WriteStream(piece)) })
+}
+
+// EndStream ends the body and the call.
+func (c *Call) EndStream() {
+	c.act(func() {
+		c.end()
+		_ = c.exchange.EndStream()
+	})
+}
+
+// Abort cuts the connection.
+func (c *Call) Abort() {
+	if c.ended {
+		return
+	}
+	c.end()
+	c.exchange.Abort()
+}
+
+// act does one step of the answer, unless the call has ended, or later while
+// answers are frozen.
+func (c *Call) act(step func()) {
+	if c.host.faults.Freeze && !c.exempt {
+		c.host.held = append(c.host.held, func() { c.act(step) })
+		return
+	}
+	if c.ended {
+		return
+	}
+	if c.loseAnswer {
+		c.Abort()
+		c.tellGone()
+		return
+	}
+	step()
+}
+
+// check tells the behavior when a piece can't be sent.
+func (c *Call) check(err error) {
+	if err == nil {
+		return
+	}
+	c.end()
+	c.tellGone()
+}
+
+// tellGone calls the behavior once the present event has been handled.
+func (c *Call) tellGone() {
+	c.host.After(0, func() { c.host.behavior.Gone(c) })
+}
+
+func (c *Call) end() {
+	c.ended = true
+	delete(c.host.calls, c.exchange)
+}
--- /dev/null
+++ b/standin/hosttest/doc.go
@@ -0,0 +1,2 @@
+// Package hosttest starts stand-ins and clients in tests.
+package hosttest
