--- /dev/null
+++ b/serving/price/doc.go
@@ -0,0 +1,2 @@
+// Package price holds what the cloud asks for instances.
+package price
