--- /dev/null
+++ b/serving/plan/make.go
@@ -0,0 +1,102 @@
+package plan
+
+import (
+	"sort"
+
+	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
+	"github.com/sycamorecourse/sycamorecourse/serving/intent"
+	"github.com/sycamorecourse/sycamorecourse/serving/place"
+	"github.com/sycamorecourse/sycamorecourse/serving/price"
+)
+
+// Make makes the plan of an intent. It fails with a *NoPricesError or an
+// *EncodeError.
+func Make(in Input) (*Plan, error) {
+	if len(in.Prices) == 0 {
+		return nil, &NoPricesError{}
+	}
+	after := merge(in.Head, in.Document)
+	p := &Plan{
+		Base:               in.Head.Version,
+		Created:            in.Now.UTC(),
+		Expires:            in.Now.Add(in.Lifetime).UTC(),
+		Document:           *in.Document,
+		TotalMicrosPerHour: in.TotalMicrosPerHour,
+		Pools:              Placements(in.Document, in.Prices, in.Fleet),
+		Costs:              costs(after, in),
+	}
+	before := documentOf(in.Head, in.Document.Member)
+	p.Changes = diff(before, in.Document)
+	p.Changes = append(p.Changes, instanceChanges(in, p.Pools)...)
+	if in.Head.TotalMicrosPerHour != in.TotalMicrosPerHour {
+		p.Changes = append(p.Changes, Change{
+			Subject: Budgets,
+			Name:    "total",
+			From:    in.Head.TotalMicrosPerHour.String(),
+			To:      in.TotalMicrosPerHour.String(),
+		})
+	}
+	if err := p.seal(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// Placements returns the wanted placement of each pool of a document.
+func Placements(d *intent.Document, prices price.List, instances []fleet.Instance) []PoolPlacement {
+	list := make([]PoolPlacement, 0, len(d.Pools))
+	for i := range d.Pools {
+		pool := &d.Pools[i]
+		target := place.Choose(place.Request{
+			Pool:   pool,
+			Prices: prices,
+			Held:   place.Held(instances, d.Member, pool.Name),
+		})
+		list = append(list, PoolPlacement{Pool: pool.Name, Target: target})
+	}
+	return list
+}
+
+// merge returns the documents of all members with one of them replaced, in the
+// order of the members' names.
+func merge(head *intent.Configuration, d *intent.Document) []intent.Document {
+	list := []intent.Document{*d}
+	for _, other := range head.Documents {
+		if other.Member != d.Member {
+			list = append(list, other)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Member < list[j].Member })
+	return list
+}
+
+func documentOf(c *intent.Configuration, member string) *intent.Document {
+	for i := range c.Documents {
+		if c.Documents[i].Member == member {
+			return &c.Documents[i]
+		}
+	}
+	return &intent.Document{Member: member}
+}
+
+func costs(after []intent.Document, in Input) []Cost {
+	list := make([]Cost, 0, len(after))
+	for i := range after {
+		d := &after[i]
+		list = append(list, Cost{
+			Member:              d.Member,
+			MicrosPerHour:       costOf(d, in),
+			BeforeMicrosPerHour: costOf(documentOf(in.Head, d.Member), in),
+			AgreedMicrosPerHour: d.Budget.MicrosPerHour,
+		})
+	}
+	return list
+}
+
+func costOf(d *intent.Document, in Input) intent.Micros {
+	var sum intent.Micros
+	for _, p := range Placements(d, in.Prices, in.Fleet) {
+		sum += intent.Micros(p.MicrosPerHour())
+	}
+	return sum
+}
