--- /dev/null
+++ b/edge/operator/collector.go
@@ -0,0 +1,26 @@
+package operator
+
+import (
+	"net/http"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+)
+
+// collector gathers an answer and offers it whole. It implements httpc.Sink.
+type collector struct {
+	status int
+	body   []byte
+	done   *ring.Ring[reply]
+}
+
+// Head implements httpc.Sink.
+func (c *collector) Head(status int, _ http.Header) { c.status = status }
+
+// Body implements httpc.Sink.
+func (c *collector) Body(p []byte) { c.body = append(c.body, p...) }
+
+// Done implements httpc.Sink.
+func (c *collector) Done() { _ = c.done.Offer(reply{status: c.status, body: c.body}) }
+
+// Failed implements httpc.Sink.
+func (c *collector) Failed(err error) { _ = c.done.Offer(reply{err: err}) }
