controller: operators, planner and store duties; sycamored controller and check

Cause: a confirmation must take effect once, whatever answers are lost and whoever races. Change: the confirmation is one transaction conditional on the plan's row and the head; after a conflict or a lost answer both are read again.

--- /dev/null
+++ b/daemon/command/declarations.go
@@ -0,0 +1,23 @@
+package command
+
+import (
+	"sort"
+	"strings"
+
+	"github.com/sycamorecourse/sycamorecourse/daemon/controller"
+	"github.com/sycamorecourse/sycamorecourse/edge/settings"
+)
+
+// declarations declares the settings of each role.
+var declarations = map[string]func(*settings.Set){
+	controller.Role: func(set *settings.Set) { new(controller.Settings).Declare(set) },
+}
+
+func roleNames() string {
+	names := make([]string, 0, len(declarations))
+	for name := range declarations {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return strings.Join(names, ", ")
+}
--- a/daemon/command/register.go
+++ b/daemon/command/register.go
@@ -11,5 +11,7 @@
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(commander.CommandsCommand(), "")
+	commander.Register(&Check{}, "")
+	commander.Register(&Controller{}, "")
 	commander.Register(&Version{}, "")
 }
--- /dev/null
+++ b/daemon/controller/controller.go
@@ -0,0 +1,133 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/coord/thread"
+	"github.com/sycamorecourse/sycamorecourse/daemon/report"
+	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
+	"github.com/sycamorecourse/sycamorecourse/edge/httpd"
+)
+
+// dutyCount bounds the duties of a controller.
+const dutyCount = 16
+
+// Controller is the controller role: its duties and the rings between them.
+type Controller struct {
+	settings  *Settings
+	log       zerolog.Logger
+	group     *thread.Group
+	report    *report.Report
+	operators *operators
+	planner   *planner
+	store     *store
+	admin     *httpd.Server
+	api       *httpd.Server
+	// platform is nil when the table was handed in.
+	platform *httpc.Client
+}
+
+// New makes a controller over a table service. Open starts its servers and Run
+// its duties.
+func New(s *Settings, log zerolog.Logger, table Table, release string) *Controller {
+	registry := prometheus.NewRegistry()
+	group := thread.NewGroup(dutyCount)
+	clk := clock.System{}
+	c := &Controller{settings: s, log: log, group: group}
+	c.planner = newPlanner(s, log, clk, time.Now)
+	c.operators = newOperators(c.planner.inbox, log, clk, s.DrainTimeout)
+	c.store = newStore(table, clk, time.Now)
+	c.store.planner = c.planner.inbox
+	c.planner.store = c.store.inbox
+	c.planner.operators = c.operators.inbox
+	c.planner.followers = alone{}
+	c.planner.counters = newCounters(registry)
+	c.report = report.New(report.Process{Role: Role, Instance: s.Instance, FailureDomain: s.FailureDomain, Release: release}, registry, group)
+	c.describe()
+	c.admin = httpd.New(httpd.Config{Address: s.AdminAddress, Pollers: 1}, c.report)
+	c.api = httpd.New(httpd.Config{Address: s.OperatorsAddress, Pollers: 1}, c.operators)
+	return c
+}
+
+// describe makes the duties part of the dump.
+func (c *Controller) describe() {
+	c.report.AddRing(c.operators.inbox.Stats)
+	c.report.AddRing(c.planner.inbox.Stats)
+	c.report.AddRing(c.store.inbox.Stats)
+	c.report.AddSource("operators", func(reply *ring.Ring[report.Section]) error {
+		return c.operators.inbox.Offer(operatorsEvent{dump: reply})
+	})
+	c.report.AddSource("planner", func(reply *ring.Ring[report.Section]) error {
+		return c.planner.inbox.Offer(plannerEvent{dump: reply})
+	})
+	c.report.AddSource("store", func(reply *ring.Ring[report.Section]) error {
+		return c.store.inbox.Offer(storeEvent{dump: reply})
+	})
+}
+
+// Open starts the servers.
+func (c *Controller) Open() error {
+	if err := c.admin.Open(); err != nil {
+		return err
+	}
+	if err := c.api.Open(); err != nil {
+		c.admin.Close()
+		return err
+	}
+	c.log.Info().Str("instance", c.settings.Instance).Str("failure_domain", c.settings.FailureDomain).
+		Str("admin", c.admin.Address()).Str("operators", c.api.Address()).Msg("controller_started")
+	return nil
+}
+
+// OperatorsAddress returns where the operators' API is served, known after
+// Open.
+func (c *Controller) OperatorsAddress() string {
+	return c.api.Address()
+}
+
+// AdminAddress returns where the dump is served, known after Open.
+func (c *Controller) AdminAddress() string {
+	return c.admin.Address()
+}
+
+// Stop begins a graceful shutdown: open requests are answered and no others
+// taken. A second call ends it at once. Any thread may call it.
+func (c *Controller) Stop() {
+	c.operators.stop()
+}
+
+// Run runs the duties until a shutdown is complete or one of them fails.
+func (c *Controller) Run() error {
+	c.group.Start("report", c.report.Run)
+	c.group.Start("operators", c.operators.run)
+	c.group.Start("planner", c.planner.run)
+	c.group.Start("store", c.store.run)
+	if c.platform != nil {
+		c.group.Start("platform-http", c.platform.Run)
+	}
+	ended, err := c.group.WaitAny()
+	if err == nil && ended.Err != nil {
+		c.log.Error().Str("duty", ended.Duty).Str("cause", ended.Err.Error()).Msg("duty_failed")
+	}
+	return c.close()
+}
+
+func (c *Controller) close() error {
+	c.operators.inbox.Close()
+	c.planner.inbox.Close()
+	c.store.inbox.Close()
+	c.report.Close()
+	if c.platform != nil {
+		c.platform.Close()
+	}
+	err := c.group.Join()
+	c.api.Close()
+	c.admin.Close()
+	c.log.Info().Msg("controller_ended")
+	return err
+}
--- /dev/null
+++ b/daemon/controller/fleet_news.go
@@ -0,0 +1,15 @@
+package controller
+
+import (
+	"github.com/sycamorecourse/sycamorecourse/edge/operator"
+	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
+	"github.com/sycamorecourse/sycamorecourse/serving/price"
+)
+
+// fleetNews is what the fleet duty knows. It is not changed once sent.
+type fleetNews struct {
+	instances []fleet.Instance
+	prices    price.List
+	pools     []operator.PoolStatus
+	leases    []operator.LeaseStatus
+}
--- /dev/null
+++ b/daemon/controller/memory_table_test.go
@@ -0,0 +1,102 @@
+package controller
+
+import (
+	"io"
+	"strings"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/coord/row"
+)
+
+// fault is what goes wrong with one write.
+type fault int
+
+const (
+	noFault fault = iota
+	// lostAfter applies the write and loses the answer.
+	lostAfter
+	// lostBefore loses the write and its answer.
+	lostBefore
+	// refused refuses the write.
+	refused
+)
+
+// memoryTable is a table service in memory. Its rows are owned by the holder of
+// its one token, so several controllers can share it.
+type memoryTable struct {
+	token  *ring.Ring[struct{}]
+	rows   map[row.Key]row.Row
+	faults []fault
+}
+
+func newMemoryTable() *memoryTable {
+	t := &memoryTable{token: ring.New[struct{}]("table", 1), rows: make(map[row.Key]row.Row)}
+	_ = t.token.Offer(struct{}{})
+	return t
+}
+
+func (t *memoryTable) locked(act func()) {
+	_, _ = t.token.Take()
+	defer func() { _ = t.token.Offer(struct{}{}) }()
+	act()
+}
+
+// failNext sets the faults of the next writes.
+func (t *memoryTable) failNext(faults ...fault) {
+	t.locked(func() { t.faults = faults })
+}
+
+func (t *memoryTable) Read(key row.Key, done func(row.Row, error)) {
+	var r row.Row
+	t.locked(func() { r = t.rows[key] })
+	r.Key = key
+	done(r, nil)
+}
+
+func (t *memoryTable) List(partition, prefix string, done func([]row.Row, error)) {
+	var rows []row.Row
+	t.locked(func() {
+		for k, r := range t.rows {
+			if k.Partition == partition && strings.HasPrefix(k.Sort, prefix) {
+				rows = append(rows, r)
+			}
+		}
+	})
+	done(rows, nil)
+}
+
+func (t *memoryTable) Write(tx row.Transaction, done func(error)) {
+	var err error
+	t.locked(func() { err = t.apply(tx) })
+	done(err)
+}
+
+func (t *memoryTable) apply(tx row.Transaction) error {
+	f := noFault
+	if len(t.faults) > 0 {
+		f, t.faults = t.faults[0], t.faults[1:]
+	}
+	switch f {
+	case refused:
+		return &row.UnavailableError{Err: io.ErrUnexpectedEOF}
+	case lostBefore:
+		return &row.UnknownError{Err: io.ErrUnexpectedEOF}
+	}
+	for _, c := range tx.Changes {
+		if t.rows[c.Key].Version != c.Expect {
+			return &row.ConflictError{Key: c.Key}
+		}
+	}
+	for _, c := range tx.Changes {
+		switch {
+		case c.Delete:
+			delete(t.rows, c.Key)
+		case !c.Check:
+			t.rows[c.Key] = row.Row{Key: c.Key, Version: c.Expect + 1, Value: c.Value}
+		}
+	}
+	if f == lostAfter {
+		return &row.UnknownError{Err: io.ErrUnexpectedEOF}
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/controller/planner_dump.go
@@ -0,0 +1,21 @@
+package controller
+
+import "github.com/sycamorecourse/sycamorecourse/edge/operator"
+
+// plannerDump is the state of the planner duty.
+type plannerDump struct {
+	// Version is the configuration in force.
+	Version uint64 `json:"version"`
+	// Plan names the plan that made it.
+	Plan string `json:"plan"`
+	// Commands is the number of commands in progress.
+	Commands int `json:"commands"`
+	// Waiters is the number of confirmations that wait for processes.
+	Waiters int `json:"waiters"`
+	// Prices is the number of known offers.
+	Prices int `json:"prices"`
+	// Instances is the number of known instances.
+	Instances int `json:"instances"`
+	// Processes lists the processes and their versions.
+	Processes []operator.Process `json:"processes"`
+}
--- /dev/null
+++ b/daemon/controller/planner_event.go
@@ -0,0 +1,15 @@
+package controller
+
+import (
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/daemon/report"
+)
+
+// plannerEvent is a message to the planner duty: one of its fields is set.
+type plannerEvent struct {
+	command   *command
+	result    *storeResult
+	fleet     *fleetNews
+	processes *processNews
+	dump      *ring.Ring[report.Section]
+}
--- /dev/null
+++ b/daemon/controller/waiter.go
@@ -0,0 +1,13 @@
+package controller
+
+import (
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/plan"
+)
+
+// waiter is a confirmation that waits until all processes have the version.
+type waiter struct {
+	ticket       uint64
+	confirmation plan.Confirmation
+	deadline     clock.Instant
+}
