--- /dev/null
+++ b/coord/retry/unsafe_error.go
@@ -0,0 +1,9 @@
+package retry
+
+// UnsafeError reports that a repetition could run the request twice.
+type UnsafeError struct{}
+
+// Error implements error.
+func (*UnsafeError) Error() string {
+	return "request is not safe to repeat"
+}
--- /dev/null
+++ b/coord/retry/verdict.go
@@ -0,0 +1,6 @@
+package retry
+
+// Verdict is the decision on a failure: [Retry] or [GiveUp].
+type Verdict interface {
+	isVerdict()
+}
