--- /dev/null
+++ b/coord/confirm/conflict_error.go
@@ -0,0 +1,20 @@
+package confirm
+
+import "fmt"
+
+// ConflictError reports that another plan was confirmed first. This one never
+// takes effect; it must be made anew against the head.
+type ConflictError struct {
+	// PlanID names the plan that was rejected.
+	PlanID string
+	// Base is the version that it was made against.
+	Base uint64
+	// Head is the newest version.
+	Head Head
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("plan %s was made against version %d, but plan %s has made version %d",
+		e.PlanID, e.Base, e.Head.PlanID, e.Head.Version)
+}
--- /dev/null
+++ b/coord/confirm/stale_change_error.go
@@ -0,0 +1,21 @@
+package confirm
+
+// StaleChangeError reports that a row which was to change together with the
+// configuration has another version than expected. The plan has not taken
+// effect.
+type StaleChangeError struct {
+	// PlanID names the plan.
+	PlanID string
+	// Err is the conflict that the table service reported.
+	Err error
+}
+
+// Error implements error.
+func (e *StaleChangeError) Error() string {
+	return "plan " + e.PlanID + " can't be confirmed: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *StaleChangeError) Unwrap() error {
+	return e.Err
+}
--- /dev/null
+++ b/coord/confirm/unknown_error.go
@@ -0,0 +1,20 @@
+package confirm
+
+// UnknownError reports that the plan may have taken effect or may still do so.
+// To confirm it again is safe and gives the answer.
+type UnknownError struct {
+	// PlanID names the plan.
+	PlanID string
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	return "it is unknown whether plan " + e.PlanID + " was confirmed: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error {
+	return e.Err
+}
