Gateway: the duties from intake to delivery, and the request dispatcher

serving/dispatch decides on typed events; daemon/gateway carries its actions out. Room for the first and the last word to a caller is reserved in delivery's ring at admission, room for the end of an attempt in dispatch's own ring.

--- a/daemon/command/declarations.go
+++ b/daemon/command/declarations.go
@@ -5,11 +5,13 @@
 	"strings"
 
 	"github.com/sycamorecourse/sycamorecourse/daemon/controller"
+	"github.com/sycamorecourse/sycamorecourse/daemon/gateway"
 	"github.com/sycamorecourse/sycamorecourse/edge/settings"
 )
 
 // declarations declares the settings of each role.
 var declarations = map[string]func(*settings.Set){
+	gateway.Role:    func(set *settings.Set) { new(gateway.Settings).Declare(set) },
 	controller.Role: func(set *settings.Set) { new(controller.Settings).Declare(set) },
 }
 
--- a/daemon/command/register.go
+++ b/daemon/command/register.go
@@ -1,10 +1,6 @@
 package command
 
-import (
-	_ "net" // links the C library until the first server does
-
-	"github.com/google/subcommands"
-)
+import "github.com/google/subcommands"
 
 // Register adds the commands of sycamored to a commander.
 func Register(commander *subcommands.Commander) {
@@ -13,5 +9,6 @@
 	commander.Register(commander.CommandsCommand(), "")
 	commander.Register(&Check{}, "")
 	commander.Register(&Controller{}, "")
+	commander.Register(&Gateway{}, "")
 	commander.Register(&Version{}, "")
 }
--- /dev/null
+++ b/daemon/gateway/admission_dump.go
@@ -0,0 +1,12 @@
+package gateway
+
+import "github.com/sycamorecourse/sycamorecourse/edge/caller"
+
+// admissionDump is admission's section of a dump.
+type admissionDump struct {
+	Credentials  int              `json:"credentials"`
+	Unauthorized uint64           `json:"unauthorized"`
+	Overloaded   uint64           `json:"overloaded"`
+	Leaving      bool             `json:"leaving"`
+	Addresses    []caller.Address `json:"addresses"`
+}
--- /dev/null
+++ b/daemon/gateway/cancel.go
@@ -0,0 +1,14 @@
+package gateway
+
+import (
+	"github.com/sycamorecourse/sycamorecourse/serving/dispatch"
+	"github.com/sycamorecourse/sycamorecourse/serving/request"
+)
+
+// cancel gives a request up for its caller.
+type cancel struct {
+	handle dispatch.Handle
+	id     request.ID
+}
+
+func (cancel) isDispatchMessage() {}
--- /dev/null
+++ b/daemon/gateway/completed.go
@@ -0,0 +1,15 @@
+package gateway
+
+import (
+	"github.com/sycamorecourse/sycamorecourse/edge/engine"
+	"github.com/sycamorecourse/sycamorecourse/serving/dispatch"
+)
+
+// completed is the end of a whole answer.
+type completed struct {
+	ref   dispatch.Ref
+	rest  engine.Tokens
+	usage dispatch.Usage
+}
+
+func (completed) isDispatchMessage() {}
--- /dev/null
+++ b/daemon/gateway/delivery_message.go
@@ -0,0 +1,8 @@
+package gateway
+
+// deliveryMessage is a message to delivery: openCaller, acceptCaller,
+// attachCaller, refuseCaller, confirmCancel, deliverPieces, finishAnswer,
+// forgetAnswer, callerGone, setAddresses or dumpDelivery.
+type deliveryMessage interface {
+	isDeliveryMessage()
+}
--- /dev/null
+++ b/daemon/gateway/dispatcher.go
@@ -0,0 +1,264 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/coord/row"
+	"github.com/sycamorecourse/sycamorecourse/daemon/report"
+	"github.com/sycamorecourse/sycamorecourse/edge/engine"
+	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
+	"github.com/sycamorecourse/sycamorecourse/serving/dispatch"
+	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
+)
+
+const (
+	// longestTick bounds the time between two looks at the deadlines.
+	longestTick = time.Second
+	// cancelTimeout bounds the call that cancels an attempt at an engine.
+	cancelTimeout = 2 * time.Second
+)
+
+// dispatcher is the duty that owns all requests. Decisions are the core's; the
+// duty carries them out.
+type dispatcher struct {
+	inbox    *ring.Ring[dispatchMessage]
+	delivery *ring.Ring[deliveryMessage]
+	core     *dispatch.Core
+	upstream *httpc.Client
+	table    table
+	clock    clock.Clock
+	log      zerolog.Logger
+	metrics  *metrics
+	calls    map[dispatch.Ref]*httpc.Call
+	counted  clock.Instant
+}
+
+func (d *dispatcher) run() error {
+	for {
+		wait := d.core.NextTick(d.clock.Now(), longestTick)
+		m, ok, err := d.inbox.TakeUntil(wait)
+		if err != nil {
+			return nil
+		}
+		now := d.clock.Now()
+		if ok {
+			d.handle(m, now)
+		} else {
+			d.core.Tick(now)
+		}
+		d.carryOut(now)
+	}
+}
+
+func (d *dispatcher) handle(m dispatchMessage, now clock.Instant) {
+	switch m := m.(type) {
+	case arrive:
+		d.core.Arrive(m.arrival, now)
+	case resume:
+		d.core.Resume(m.handle, m.id, m.from, now)
+	case cancel:
+		d.core.Cancel(m.handle, m.id, now)
+	case detached:
+		d.core.Detached(m.id, now)
+	case tokens:
+		d.piece(m.ref, m.tokens, now)
+	case completed:
+		d.piece(m.ref, m.rest, now)
+		delete(d.calls, m.ref)
+		d.core.Completed(m.ref, m.usage, now)
+	case replied:
+		delete(d.calls, m.ref)
+		d.core.Replied(m.ref, m.reply, now)
+	case failed:
+		d.piece(m.ref, m.rest, now)
+		delete(d.calls, m.ref)
+		d.core.Failed(m.ref, m.failure, now)
+	case written:
+		d.core.Written(m.id, m.serial, m.err, now)
+	case readResult:
+		d.core.ReadResult(m.id, m.serial, m.found, m.err, now)
+	default:
+		d.handleControl(m, now)
+	}
+}
+
+func (d *dispatcher) handleControl(m dispatchMessage, now clock.Instant) {
+	switch m := m.(type) {
+	case loadReport:
+		d.core.ReportLoad(m.instance, m.load, now)
+	case fleetUpdate:
+		d.update(m, now)
+	case leave:
+		d.core.Leave()
+	case askIdle:
+		_ = m.reply.Offer(d.core.IsIdle())
+	case dumpDispatch:
+		_ = m.reply.Offer(report.Section{Name: "dispatch", State: d.core.Snapshot(now)})
+	}
+}
+
+func (d *dispatcher) update(m fleetUpdate, now clock.Instant) {
+	if m.configuration != nil {
+		d.core.Configure(m.configuration, now)
+		d.log.Info().Uint64("version", m.configuration.Version).Msg("configuration_in_force")
+	}
+	if m.gateways > 0 {
+		d.core.SetGateways(m.gateways)
+	}
+	if len(m.upserts) > 0 {
+		d.core.Upsert(m.upserts, timeLeft, now)
+	}
+	if len(m.removed) > 0 {
+		d.core.Remove(m.removed, now)
+	}
+}
+
+// timeLeft is how long a leaving instance still runs, by the wall clock.
+func timeLeft(instance fleet.Instance) (time.Duration, bool) {
+	if instance.Ends.IsZero() {
+		return 0, false
+	}
+	return time.Until(instance.Ends), true
+}
+
+func (d *dispatcher) piece(ref dispatch.Ref, t engine.Tokens, now clock.Instant) {
+	if t.Count > 0 {
+		d.core.Piece(ref, t.First, t.Count, t.Text, now)
+	}
+}
+
+// carryOut does what the core has decided, until nothing is left.
+func (d *dispatcher) carryOut(now clock.Instant) {
+	for actions := d.core.Actions(); len(actions) > 0; actions = d.core.Actions() {
+		for _, a := range actions {
+			d.act(a, now)
+		}
+	}
+	if now.Sub(d.counted) >= longestTick {
+		d.counted = now
+		d.metrics.set(d.core.Counts())
+	}
+}
+
+func (d *dispatcher) act(a dispatch.Action, now clock.Instant) {
+	switch a := a.(type) {
+	case dispatch.Accept:
+		_ = d.delivery.OfferReserved(acceptCaller{handle: a.Handle, id: a.ID})
+	case dispatch.Attach:
+		d.lastWord(attachCaller{handle: a.Handle, id: a.ID, from: a.From})
+	case dispatch.Refuse:
+		d.lastWord(refuseCaller{handle: a.Handle, refusal: a.Refusal})
+	case dispatch.ConfirmCancel:
+		d.lastWord(confirmCancel{handle: a.Handle})
+	case dispatch.Deliver:
+		d.deliver(a)
+	case dispatch.Finish:
+		_ = d.delivery.OfferReserved(finishAnswer{id: a.ID, pieces: a.Pieces, summary: a.Summary})
+	case dispatch.Forget:
+		// An answer that is kept for longer than needed is dropped by its age.
+		_ = d.delivery.Offer(forgetAnswer{id: a.ID})
+	default:
+		d.callOut(a, now)
+	}
+}
+
+// lastWord gives a caller the message that ends dispatch's part for it, and
+// frees the slot that the end of an answer would have taken.
+func (d *dispatcher) lastWord(m deliveryMessage) {
+	_ = d.delivery.OfferReserved(m)
+	d.delivery.Release()
+}
+
+func (d *dispatcher) deliver(a dispatch.Deliver) {
+	if len(a.Pieces) == 0 {
+		return
+	}
+	if d.delivery.Offer(deliverPieces{id: a.ID, pieces: a.Pieces}) != nil {
+		d.core.Undelivered(a.ID, a.Pieces[0].Index)
+	}
+}
+
+func (d *dispatcher) callOut(a dispatch.Action, now clock.Instant) {
+	switch a := a.(type) {
+	case dispatch.Send:
+		d.send(&a, now)
+	case dispatch.Reattach:
+		call := engine.NewReattachCall(&a, a.Deadline.Sub(now), &receiver{ref: a.Ref, inbox: d.inbox})
+		d.start(a.Ref, call, now)
+	case dispatch.Abort:
+		d.abort(&a)
+	case dispatch.WriteRows:
+		d.write(&a, now)
+	case dispatch.ReadRow:
+		d.read(&a, now)
+	case dispatch.Note:
+		d.note(&a)
+	}
+}
+
+func (d *dispatcher) send(a *dispatch.Send, now clock.Instant) {
+	call, err := engine.NewCall(a, a.Deadline.Sub(now), &receiver{ref: a.Ref, inbox: d.inbox})
+	if err != nil {
+		d.core.Failed(a.Ref, dispatch.Failure{Kind: dispatch.NotSent, Detail: err.Error()}, now)
+		return
+	}
+	if d.core.MaySend(a.Ref, d.clock.Now()) {
+		d.start(a.Ref, call, now)
+	}
+}
+
+// start begins a call after a slot is reserved for the end of its answer.
+func (d *dispatcher) start(ref dispatch.Ref, call *httpc.Call, now clock.Instant) {
+	if err := d.inbox.Reserve(); err != nil {
+		d.core.Failed(ref, dispatch.Failure{Kind: dispatch.NotSent, Detail: err.Error()}, now)
+		return
+	}
+	if err := d.upstream.Start(call); err != nil {
+		d.inbox.Release()
+		d.core.Failed(ref, dispatch.Failure{Kind: dispatch.NotSent, Detail: err.Error()}, now)
+		return
+	}
+	d.calls[ref] = call
+}
+
+// abort ends the connection and tells the engine, which otherwise goes on for a
+// caller that may come back.
+func (d *dispatcher) abort(a *dispatch.Abort) {
+	if call := d.calls[a.Ref]; call != nil {
+		delete(d.calls, a.Ref)
+		_ = d.upstream.Cancel(call)
+	}
+	_ = d.upstream.Start(engine.NewCancelCall(a, cancelTimeout))
+}
+
+func (d *dispatcher) write(a *dispatch.WriteRows, now clock.Instant) {
+	if err := d.inbox.Reserve(); err != nil {
+		d.core.Written(a.ID, a.Serial, &row.UnavailableError{Err: err}, now)
+		return
+	}
+	id, serial, inbox := a.ID, a.Serial, d.inbox
+	d.table.Write(a.Transaction, func(err error) {
+		_ = inbox.OfferReserved(written{id: id, serial: serial, err: err})
+	})
+}
+
+func (d *dispatcher) read(a *dispatch.ReadRow, now clock.Instant) {
+	id, serial, inbox := a.ID, a.Serial, d.inbox
+	if err := inbox.Reserve(); err != nil {
+		d.core.ReadResult(id, serial, row.Row{}, &row.UnavailableError{Err: err}, now)
+		return
+	}
+	d.table.Read(a.Key, func(found row.Row, err error) {
+		_ = inbox.OfferReserved(readResult{id: id, serial: serial, found: found, err: err})
+	})
+}
+
+func (d *dispatcher) note(a *dispatch.Note) {
+	d.metrics.note(a.Event)
+	d.log.Info().Str("customer", a.ID.Customer).Str("key", a.ID.Key).Str("upstream", a.Upstream).
+		Int("attempt", a.Attempt).Str("detail", a.Detail).Msg(string(a.Event))
+}
--- /dev/null
+++ b/daemon/gateway/drain_message.go
@@ -0,0 +1,4 @@
+package gateway
+
+// drainMessage is a message to the drain duty: a stop is wanted.
+type drainMessage struct{}
--- /dev/null
+++ b/daemon/gateway/finish_answer.go
@@ -0,0 +1,12 @@
+package gateway
+
+import "github.com/sycamorecourse/sycamorecourse/serving/request"
+
+// finishAnswer ends an answer for all of its callers.
+type finishAnswer struct {
+	id      request.ID
+	pieces  []request.Piece
+	summary request.Summary
+}
+
+func (finishAnswer) isDeliveryMessage() {}
--- /dev/null
+++ b/daemon/gateway/gateway.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/attempt"
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/coord/thread"
+	"github.com/sycamorecourse/sycamorecourse/daemon/report"
+	"github.com/sycamorecourse/sycamorecourse/edge/caller"
+	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
+	"github.com/sycamorecourse/sycamorecourse/edge/httpd"
+	platform "github.com/sycamorecourse/sycamorecourse/edge/platform/table"
+	"github.com/sycamorecourse/sycamorecourse/serving/dispatch"
+	"github.com/sycamorecourse/sycamorecourse/serving/route"
+)
+
+const (
+	// maxDuties bounds the duties of a gateway.
+	maxDuties = 64
+	// admissionSlots is the capacity of admission's ring.
+	admissionSlots = 1024
+	// drainSlots is the capacity of the drain's ring.
+	drainSlots = 4
+	// probeSlots is the capacity of the probe's ring.
+	probeSlots = 16
+	// pieceSlots is the number of slots for each request, beside the reserved
+	// ones, in the rings of dispatch and delivery.
+	pieceSlots = 4
+)
+
+// Gateway is the gateway role: its duties and the rings between them.
+type Gateway struct {
+	settings  *Settings
+	log       zerolog.Logger
+	group     *thread.Group
+	report    *report.Report
+	intake    *intake
+	admission *admission
+	dispatch  *dispatcher
+	delivery  *delivery
+	probe     *probe
+	drain     *drain
+	upstream  *httpc.Client
+	record    *httpc.Client
+	api       *httpd.Server
+	admin     *httpd.Server
+}
+
+// New makes a gateway. Open starts its servers and Run its duties.
+func New(s *Settings, log zerolog.Logger, release string) *Gateway {
+	registry := prometheus.NewRegistry()
+	group := thread.NewGroup(maxDuties)
+	g := &Gateway{settings: s, log: log, group: group}
+	process := report.Process{Role: Role, Instance: s.Instance, FailureDomain: s.FailureDomain, Release: release}
+	g.report = report.New(process, registry, group)
+	admissions := ring.New[admissionMessage]("admission", admissionSlots)
+	// Each request may have an answer, a read and a write on the way.
+	dispatches := ring.New[dispatchMessage]("dispatch", s.MaxRequests*(pieceSlots+3))
+	deliveries := ring.New[deliveryMessage]("delivery", s.MaxRequests*(pieceSlots+slotsPerCaller))
+	g.upstream = httpc.New(httpc.Config{Name: "upstream", Capacity: 2 * s.MaxRequests})
+	g.record = httpc.New(httpc.Config{Name: "record", Capacity: 2 * s.MaxRequests})
+	g.intake = &intake{limits: caller.Limits{}.WithDefaults(), admission: admissions, delivery: deliveries}
+	g.admission = &admission{inbox: admissions, dispatch: dispatches, delivery: deliveries, keep: s.AddressKeep}
+	g.dispatch = newDispatcher(s, log, registry, dispatches, deliveries)
+	g.dispatch.upstream = g.upstream
+	g.dispatch.table = g.table()
+	g.delivery = newDelivery(log, dispatches, deliveries)
+	g.probe = &probe{
+		inbox:    ring.New[probeMessage]("probe", probeSlots),
+		dispatch: dispatches,
+		upstream: g.upstream,
+		interval: s.ProbeInterval,
+	}
+	g.drain = &drain{
+		inbox:    ring.New[drainMessage]("drain", drainSlots),
+		dispatch: dispatches,
+		announce: g.announceLeave,
+		delay:    s.LeaveDelay,
+		limit:    s.DrainTimeout,
+		clock:    clock.System{},
+		log:      log,
+	}
+	g.api = httpd.New(httpd.Config{Address: s.ListenAddress}, g.intake)
+	g.admin = httpd.New(httpd.Config{Address: s.AdminAddress, Pollers: 1}, g.report)
+	g.describe()
+	return g
+}
+
+func newDispatcher(s *Settings, log zerolog.Logger, registry *prometheus.Registry, inbox *ring.Ring[dispatchMessage], delivery *ring.Ring[deliveryMessage]) *dispatcher {
+	core := dispatch.New(dispatch.Config{
+		Holder:      attempt.Holder{Instance: s.Instance, Incarnation: uint64(time.Now().UnixNano())},
+		Window:      attempt.Window{Length: s.AttemptWindow, Margin: s.AttemptWindow / 50},
+		MaxRequests: s.MaxRequests,
+		MaxAttempts: s.MaxAttempts,
+		Retention:   s.Retention,
+		ResumeGrace: s.ResumeGrace,
+		Route:       route.Config{Policy: route.Policy(s.Policy)},
+	})
+	return &dispatcher{
+		inbox:    inbox,
+		delivery: delivery,
+		core:     core,
+		clock:    clock.System{},
+		log:      log,
+		metrics:  newMetrics(registry),
+		calls:    make(map[dispatch.Ref]*httpc.Call),
+	}
+}
+
+// table is the table service in which attempts are recorded.
+func (g *Gateway) table() table {
+	if g.settings.TableAddress == "" {
+		return noTable{}
+	}
+	return platform.New(platform.Config{Address: g.settings.TableAddress, Timeout: g.settings.TableTimeout}, g.record)
+}
+
+func (g *Gateway) describe() {
+	for _, stats := range []func() ring.Stats{
+		g.admission.inbox.Stats, g.dispatch.inbox.Stats, g.delivery.inbox.Stats,
+		g.probe.inbox.Stats, g.drain.inbox.Stats, g.upstream.Stats, g.record.Stats,
+	} {
+		g.report.AddRing(stats)
+	}
+	g.report.AddSource("admission", func(reply *ring.Ring[report.Section]) error {
+		return g.admission.inbox.Offer(admissionMessage{dump: reply})
+	})
+	g.report.AddSource("dispatch", func(reply *ring.Ring[report.Section]) error {
+		return g.dispatch.inbox.Offer(dumpDispatch{reply: reply})
+	})
+	g.report.AddSource("delivery", func(reply *ring.Ring[report.Section]) error {
+		return g.delivery.inbox.Offer(dumpDelivery{reply: reply})
+	})
+}
+
+// Open starts the servers and clients.
+func (g *Gateway) Open() error {
+	if err := g.upstream.Open(); err != nil {
+		return &StartError{Part: "upstream client", Err: err}
+	}
+	if err := g.record.Open(); err != nil {
+		return &StartError{Part: "record client", Err: err}
+	}
+	if err := g.api.Open(); err != nil {
+		return err
+	}
+	if err := g.admin.Open(); err != nil {
+		return err
+	}
+	if g.settings.PublicAddress == "" {
+		g.settings.PublicAddress = g.api.Address()
+	}
+	g.delivery.address = g.settings.PublicAddress
+	return nil
+}
+
+// Stop begins a graceful shutdown; a second call ends it at once. Any thread
+// may call it.
+func (g *Gateway) Stop() {
+	_ = g.drain.inbox.Offer(drainMessage{})
+}
+
+// Run runs the duties until a shutdown is complete or one of them fails. It
+// returns nil after a graceful end.
+func (g *Gateway) Run() error {
+	g.group.Start("delivery", g.delivery.run)
+	g.group.Start("upstream", g.upstream.Run)
+	g.group.Start("record", g.record.Run)
+	g.group.Start("dispatch", g.dispatch.run)
+	g.group.Start("admission", g.admission.run)
+	g.group.Start("probe", g.probe.run)
+	g.group.Start("drain", g.drain.run)
+	g.group.Start("report", g.report.Run)
+	g.log.Info().Str("instance", g.settings.Instance).Str("failure_domain", g.settings.FailureDomain).
+		Str("listen", g.api.Address()).Str("admin", g.admin.Address()).Msg("gateway_started")
+	ended, err := g.group.WaitAny()
+	if err == nil && ended.Err != nil {
+		g.log.Error().Str("duty", ended.Duty).Str("cause", ended.Err.Error()).Msg("duty_failed")
+	}
+	g.close()
+	return ended.Err
+}
+
+func (g *Gateway) close() {
+	g.drain.inbox.Close()
+	g.probe.inbox.Close()
+	g.admission.inbox.Close()
+	g.dispatch.inbox.Close()
+	g.upstream.Close()
+	g.record.Close()
+	g.delivery.inbox.Close()
+	g.report.Close()
+	if err := g.group.Join(); err != nil {
+		g.log.Error().Str("cause", err.Error()).Msg("end_failed")
+	}
+	g.api.Close()
+	g.admin.Close()
+	g.log.Info().Msg("gateway_ended")
+}
+
+// announceLeave tells all duties and other processes that this one is stopping.
+func (g *Gateway) announceLeave() {
+	_ = g.admission.inbox.Offer(admissionMessage{leave: true})
+	_ = g.dispatch.inbox.Offer(leave{})
+}
--- /dev/null
+++ b/daemon/gateway/load_sink.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/edge/engine"
+)
+
+// maxLoadBytes bounds a report of load.
+const maxLoadBytes = 4 << 10
+
+// loadSink offers a report of load to dispatch. It implements httpc.Sink.
+type loadSink struct {
+	instance string
+	dispatch *ring.Ring[dispatchMessage]
+	status   int
+	body     []byte
+}
+
+// Head implements httpc.Sink.
+func (s *loadSink) Head(status int, _ http.Header) {
+	s.status = status
+}
+
+// Body implements httpc.Sink.
+func (s *loadSink) Body(p []byte) {
+	if len(s.body)+len(p) <= maxLoadBytes {
+		s.body = append(s.body, p...)
+	}
+}
+
+// Done implements httpc.Sink. A report that does not decode, or for which
+// dispatch has no room, is dropped: the next one comes soon.
+func (s *loadSink) Done() {
+	if s.status != http.StatusOK {
+		return
+	}
+	load, err := engine.DecodeLoad(s.body, time.Now())
+	if err != nil {
+		return
+	}
+	_ = s.dispatch.Offer(loadReport{instance: s.instance, load: load})
+}
+
+// Failed implements httpc.Sink.
+func (*loadSink) Failed(error) {}
--- /dev/null
+++ b/daemon/gateway/no_table.go
@@ -0,0 +1,19 @@
+package gateway
+
+import (
+	"github.com/sycamorecourse/sycamorecourse/coord/row"
+)
+
+// noTable is the table of a gateway without a table service: it is always
+// unavailable, so that non-idempotent requests are refused as not run.
+type noTable struct{}
+
+// Read implements table.
+func (noTable) Read(_ row.Key, done func(row.Row, error)) {
+	done(row.Row{}, &row.UnavailableError{Err: &NoTableError{}})
+}
+
+// Write implements table.
+func (noTable) Write(_ row.Transaction, done func(error)) {
+	done(&row.UnavailableError{Err: &NoTableError{}})
+}
--- /dev/null
+++ b/daemon/gateway/receiver.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/edge/engine"
+	"github.com/sycamorecourse/sycamorecourse/serving/dispatch"
+	"github.com/sycamorecourse/sycamorecourse/serving/request"
+)
+
+// receiver offers the answer of one attempt to dispatch. A slot was reserved
+// for its end. It implements engine.Receiver.
+type receiver struct {
+	ref   dispatch.Ref
+	inbox *ring.Ring[dispatchMessage]
+}
+
+// Tokens implements engine.Receiver.
+func (r *receiver) Tokens(t engine.Tokens) bool {
+	return r.inbox.Offer(tokens{ref: r.ref, tokens: t}) == nil
+}
+
+// Completed implements engine.Receiver.
+func (r *receiver) Completed(rest engine.Tokens, usage dispatch.Usage) {
+	_ = r.inbox.OfferReserved(completed{ref: r.ref, rest: rest, usage: usage})
+}
+
+// Replied implements engine.Receiver.
+func (r *receiver) Replied(reply *request.Reply) {
+	_ = r.inbox.OfferReserved(replied{ref: r.ref, reply: reply})
+}
+
+// Failed implements engine.Receiver.
+func (r *receiver) Failed(rest engine.Tokens, failure dispatch.Failure) {
+	_ = r.inbox.OfferReserved(failed{ref: r.ref, rest: rest, failure: failure})
+}
--- /dev/null
+++ b/daemon/gateway/ticket.go
@@ -0,0 +1,12 @@
+package gateway
+
+import (
+	"github.com/sycamorecourse/sycamorecourse/edge/caller"
+	"github.com/sycamorecourse/sycamorecourse/edge/httpd"
+)
+
+// ticket is a decoded request of a caller and the exchange to answer it on.
+type ticket struct {
+	exchange *httpd.Exchange
+	message  caller.Message
+}
--- /dev/null
+++ b/daemon/gateway/tokens.go
@@ -0,0 +1,14 @@
+package gateway
+
+import (
+	"github.com/sycamorecourse/sycamorecourse/edge/engine"
+	"github.com/sycamorecourse/sycamorecourse/serving/dispatch"
+)
+
+// tokens is a part of an answer.
+type tokens struct {
+	ref    dispatch.Ref
+	tokens engine.Tokens
+}
+
+func (tokens) isDispatchMessage() {}
--- /dev/null
+++ b/edge/engine/choice.go
@@ -0,0 +1,8 @@
+package engine
+
+// choice is the part of a chunk that carries a token.
+type choice struct {
+	Text         string  `json:"text"`
+	TokenIndex   int     `json:"token_index"`
+	FinishReason *string `json:"finish_reason"`
+}
--- /dev/null
+++ b/edge/engine/completion.go
@@ -0,0 +1,15 @@
+package engine
+
+// completion is the body of POST /v1/completions.
+type completion struct {
+	Model      string `json:"model"`
+	Adapter    string `json:"adapter,omitempty"`
+	Prompt     string `json:"prompt"`
+	MaxTokens  int    `json:"max_tokens"`
+	Stream     bool   `json:"stream"`
+	Priority   int    `json:"priority"`
+	RequestID  string `json:"request_id"`
+	ResumeFrom int    `json:"resume_from,omitempty"`
+	ResumeText string `json:"resume_text,omitempty"`
+	KVHandle   string `json:"kv_handle,omitempty"`
+}
--- a/edge/httpc/call.go
+++ b/edge/httpc/call.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 )
 
 // Call is one request and the sink of its answer. It is made by its owner and
@@ -23,6 +25,9 @@
 	Body []byte
 	// Timeout bounds the call up to its last byte; 0 is no bound.
 	Timeout time.Duration
+	// NotAfter is the instant from which the first byte is not sent any more;
+	// 0 is no bound. A call that is too late fails with a *NotSentError.
+	NotAfter clock.Instant
 	// Sink receives the answer.
 	Sink Sink
 
--- a/edge/httpc/client.go
+++ b/edge/httpc/client.go
@@ -8,6 +8,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"golang.org/x/sys/unix"
 
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
 )
 
@@ -177,6 +178,11 @@
 	if conn.isClosed() {
 		return false
 	}
+	if call.NotAfter != 0 && !(clock.System{}).Now().Before(call.NotAfter) {
+		call.Sink.Failed(&NotSentError{Address: call.Address, Err: &TooLateError{}})
+		c.keep(conn)
+		return true
+	}
 	_ = conn.conn.SetReadDeadline(deadline(call.Timeout))
 	call.conn = conn
 	conn.current.Store(call)
--- /dev/null
+++ b/serving/dispatch/core_test.go
@@ -0,0 +1,265 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/attempt"
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/coord/row"
+	"github.com/sycamorecourse/sycamorecourse/serving/dispatch"
+	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
+	"github.com/sycamorecourse/sycamorecourse/serving/intent"
+	"github.com/sycamorecourse/sycamorecourse/serving/request"
+)
+
+func TestDispatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dispatch")
+}
+
+// failedCall is a failure of the transport in these tests.
+type failedCall struct{}
+
+func (failedCall) Error() string { return "failed call" }
+
+// fixture is a Core with two engines and one plain service.
+type fixture struct {
+	core    *dispatch.Core
+	now     clock.Instant
+	actions []dispatch.Action
+}
+
+func newFixture() *fixture {
+	f := &fixture{now: clock.Instant(time.Hour)}
+	f.core = dispatch.New(dispatch.Config{Holder: attempt.Holder{Instance: "gateway-1", Incarnation: 1}})
+	f.core.Configure(&intent.Configuration{Version: 1, Documents: []intent.Document{{
+		Member: "noranbus",
+		Models: []intent.Model{{Name: "route-llm", Version: "1", FirstTokenMillis: 1000, NextTokenMillis: 50}},
+		Pools: []intent.Pool{
+			{Name: "route-llm", Kind: intent.Engine, Model: "route-llm", Replicas: 2, MaxConcurrent: 4},
+			{Name: "rider-app", Kind: intent.PlainService, Replicas: 1, MaxConcurrent: 4},
+		},
+		Services: []intent.Service{{Name: "rider-app", Pool: "rider-app", TimeoutMillis: 5000,
+			NonIdempotent: []intent.CallRule{{Method: "POST", PathPrefix: "/boardings"}}}},
+		Customers: []intent.Customer{{Name: "academy", Share: 1}},
+	}}}, f.now)
+	f.core.Upsert([]fleet.Instance{
+		{ID: "e1", Member: "noranbus", Pool: "route-llm", Address: "10.0.0.1:1", State: fleet.Live},
+		{ID: "e2", Member: "noranbus", Pool: "route-llm", Address: "10.0.0.2:1", State: fleet.Live},
+		{ID: "s1", Member: "noranbus", Pool: "rider-app", Address: "10.0.0.3:1", State: fleet.Live},
+	}, noTimeLeft, f.now)
+	return f
+}
+
+func noTimeLeft(fleet.Instance) (time.Duration, bool) { return 0, false }
+
+func (f *fixture) arrive(handle dispatch.Handle, key string, idempotent bool) {
+	f.core.Arrive(dispatch.Arrival{Handle: handle, Request: request.Request{
+		ID: request.ID{Customer: "noranbus/academy", Key: key}, Member: "noranbus", Idempotent: idempotent,
+		Model: "route-llm", Prompt: "rebuild the routes", MaxTokens: 4, Deadline: 30 * time.Second,
+	}}, f.now)
+	f.collect()
+}
+
+func (f *fixture) collect() {
+	f.actions = append(f.actions, f.core.Actions()...)
+}
+
+// take returns the first action of a type and forgets all before it.
+func take[A dispatch.Action](f *fixture) A {
+	GinkgoHelper()
+	f.collect()
+	for i, a := range f.actions {
+		if found, ok := a.(A); ok {
+			f.actions = f.actions[i+1:]
+			return found
+		}
+	}
+	var none A
+	Fail("no such action")
+	return none
+}
+
+func has[A dispatch.Action](f *fixture) bool {
+	f.collect()
+	for _, a := range f.actions {
+		if _, ok := a.(A); ok {
+			return true
+		}
+	}
+	return false
+}
+
+var _ = Describe("Core", func() {
+	var f *fixture
+
+	BeforeEach(func() { f = newFixture() })
+
+	It("gives a whole answer once, in order, and drops what belongs to no current attempt", func() {
+		f.arrive(1, "k", true)
+		Expect(take[dispatch.Accept](f).Handle).To(Equal(dispatch.Handle(1)))
+		send := take[dispatch.Send](f)
+		f.core.Piece(send.Ref, 0, 1, "a ", f.now)
+		f.core.Piece(send.Ref, 0, 1, "a ", f.now)
+		f.core.Piece(dispatch.Ref{ID: send.Ref.ID, Number: 9}, 1, 1, "x ", f.now)
+		f.core.Piece(send.Ref, 1, 2, "b c ", f.now)
+		f.core.Completed(send.Ref, dispatch.Usage{}, f.now)
+		f.core.Completed(send.Ref, dispatch.Usage{}, f.now)
+		Expect(take[dispatch.Deliver](f).Pieces[0].Text).To(Equal("a "))
+		Expect(take[dispatch.Deliver](f).Pieces[0].Text).To(Equal("b c "))
+		finish := take[dispatch.Finish](f)
+		Expect(finish.Summary.Outcome()).To(Equal(request.Completed))
+		Expect(has[dispatch.Finish](f)).To(BeFalse())
+	})
+
+	It("takes a broken stream up again, then goes on elsewhere behind the tokens given", func() {
+		f.arrive(1, "k", true)
+		send := take[dispatch.Send](f)
+		f.core.Piece(send.Ref, 0, 2, "a b ", f.now)
+		f.core.Failed(send.Ref, dispatch.Failure{Kind: dispatch.Broken}, f.now)
+		Expect(take[dispatch.Reattach](f).FromToken).To(Equal(2))
+		f.core.Failed(send.Ref, dispatch.Failure{Kind: dispatch.NotSent}, f.now)
+		second := take[dispatch.Send](f)
+		Expect(second.Address).NotTo(Equal(send.Address))
+		Expect(second.ResumeTokens).To(Equal(2))
+		Expect(second.ResumeText).To(Equal("a b "))
+		f.core.Piece(send.Ref, 2, 1, "late ", f.now)
+		f.core.Piece(second.Ref, 2, 1, "c ", f.now)
+		f.core.Completed(second.Ref, dispatch.Usage{}, f.now)
+		finish := take[dispatch.Finish](f)
+		Expect(finish.Summary.Attempts).To(Equal(2))
+		Expect(finish.Summary.Outcome()).To(Equal(request.Completed))
+	})
+
+	It("sends a non-idempotent request only when its attempt is recorded", func() {
+		f.arrive(1, "k", false)
+		write := take[dispatch.WriteRows](f)
+		Expect(has[dispatch.Send](f)).To(BeFalse())
+		Expect(has[dispatch.Accept](f)).To(BeFalse())
+		f.core.Written(write.ID, write.Serial, nil, f.now)
+		send := take[dispatch.Send](f)
+		Expect(send.NotAfter).NotTo(BeZero())
+		Expect(f.core.MaySend(send.Ref, f.now)).To(BeTrue())
+	})
+
+	It("refuses a non-idempotent request as not run while the store is away", func() {
+		f.arrive(1, "k", false)
+		write := take[dispatch.WriteRows](f)
+		f.core.Written(write.ID, write.Serial, &row.UnavailableError{Err: failedCall{}}, f.now)
+		refuse := take[dispatch.Refuse](f)
+		Expect(refuse.Refusal.Outcome).To(Equal(request.NotRun))
+		Expect(refuse.Refusal.Reason).To(Equal(request.StoreUnavailable))
+		Expect(has[dispatch.Send](f)).To(BeFalse())
+	})
+
+	It("never sends a non-idempotent request again after it may have run", func() {
+		f.arrive(1, "k", false)
+		write := take[dispatch.WriteRows](f)
+		f.core.Written(write.ID, write.Serial, nil, f.now)
+		send := take[dispatch.Send](f)
+		Expect(f.core.MaySend(send.Ref, f.now)).To(BeTrue())
+		f.core.Failed(send.Ref, dispatch.Failure{Kind: dispatch.Broken}, f.now)
+		Expect(has[dispatch.Reattach](f)).To(BeTrue())
+		f.core.Failed(send.Ref, dispatch.Failure{Kind: dispatch.Gone}, f.now)
+		finish := take[dispatch.Finish](f)
+		Expect(finish.Summary.Outcome()).To(Equal(request.Unknown))
+		f.arrive(2, "k", false)
+		Expect(has[dispatch.Send](f)).To(BeFalse())
+	})
+
+	It("does not send when the right to send has lapsed on the way", func() {
+		f.arrive(1, "k", false)
+		write := take[dispatch.WriteRows](f)
+		f.core.Written(write.ID, write.Serial, nil, f.now)
+		send := take[dispatch.Send](f)
+		Expect(f.core.MaySend(send.Ref, f.now.Add(6*time.Second))).To(BeFalse())
+		Expect(take[dispatch.Finish](f).Summary.Outcome()).To(Equal(request.NotRun))
+	})
+
+	It("tries a non-idempotent request again when the upstream says that it did not run it", func() {
+		f.arrive(1, "k", false)
+		write := take[dispatch.WriteRows](f)
+		f.core.Written(write.ID, write.Serial, nil, f.now)
+		send := take[dispatch.Send](f)
+		Expect(f.core.MaySend(send.Ref, f.now)).To(BeTrue())
+		f.core.Failed(send.Ref, dispatch.Failure{Kind: dispatch.RefusedByUpstream}, f.now)
+		freed := take[dispatch.WriteRows](f)
+		f.core.Written(freed.ID, freed.Serial, nil, f.now)
+		claim := take[dispatch.WriteRows](f)
+		f.core.Written(claim.ID, claim.Serial, &row.ConflictError{}, f.now)
+		read := take[dispatch.ReadRow](f)
+		change := freed.Transaction.Changes[0]
+		f.core.ReadResult(read.ID, read.Serial, row.Row{Key: read.Key, Version: change.Expect + 1, Value: change.Value}, nil, f.now)
+		claim = take[dispatch.WriteRows](f)
+		f.core.Written(claim.ID, claim.Serial, nil, f.now)
+		second := take[dispatch.Send](f)
+		Expect(second.Address).NotTo(Equal(send.Address))
+	})
+
+	It("attaches a duplicate to the request that came first, and keeps customers apart", func() {
+		f.arrive(1, "k", true)
+		f.arrive(2, "k", true)
+		Expect(take[dispatch.Attach](f).Handle).To(Equal(dispatch.Handle(2)))
+		f.core.Resume(3, request.ID{Customer: "noranbus/other", Key: "k"}, 0, f.now)
+		Expect(take[dispatch.Refuse](f).Refusal.Reason).To(Equal(request.NotFound))
+	})
+
+	It("moves idempotent requests off an upstream that leaves before they can end", func() {
+		f.arrive(1, "k", true)
+		send := take[dispatch.Send](f)
+		id := "e1"
+		if send.Address == "10.0.0.2:1" {
+			id = "e2"
+		}
+		f.core.Piece(send.Ref, 0, 1, "a ", f.now.Add(time.Second))
+		leaving := fleet.Instance{ID: id, Member: "noranbus", Pool: "route-llm", Address: send.Address, State: fleet.Leaving}
+		f.core.Upsert([]fleet.Instance{leaving}, func(fleet.Instance) (time.Duration, bool) { return time.Second, true }, f.now.Add(time.Second))
+		Expect(take[dispatch.Abort](f).Ref).To(Equal(send.Ref))
+		second := take[dispatch.Send](f)
+		Expect(second.Address).NotTo(Equal(send.Address))
+		Expect(second.ResumeTokens).To(Equal(1))
+		f.arrive(2, "new", true)
+		Expect(take[dispatch.Send](f).Address).NotTo(Equal(send.Address))
+	})
+
+	It("ends a request at its deadline and forgets it after the retention", func() {
+		f.arrive(1, "k", true)
+		take[dispatch.Send](f)
+		f.now = f.now.Add(31 * time.Second)
+		f.core.Tick(f.now)
+		take[dispatch.Abort](f)
+		Expect(take[dispatch.Finish](f).Summary.Refusal.Reason).To(Equal(request.DeadlineUnmet))
+		Expect(f.core.IsIdle()).To(BeTrue())
+		f.core.Tick(f.now.Add(2 * time.Minute))
+		Expect(take[dispatch.Forget](f).ID.Key).To(Equal("k"))
+	})
+
+	It("gives up an idempotent request whose caller stays away", func() {
+		f.arrive(1, "k", true)
+		send := take[dispatch.Send](f)
+		f.core.Detached(send.Ref.ID, f.now)
+		f.core.Tick(f.now.Add(9 * time.Second))
+		Expect(has[dispatch.Abort](f)).To(BeFalse())
+		f.core.Tick(f.now.Add(10 * time.Second))
+		Expect(take[dispatch.Abort](f).Ref).To(Equal(send.Ref))
+		Expect(take[dispatch.Finish](f).Summary.Refusal.Reason).To(Equal(request.Canceled))
+	})
+
+	It("refuses all that arrives while leaving", func() {
+		f.core.Leave()
+		f.arrive(1, "k", true)
+		Expect(take[dispatch.Refuse](f).Refusal.Reason).To(Equal(request.Leaving))
+	})
+
+	It("needs a key for a call that runs at most once", func() {
+		f.core.Arrive(dispatch.Arrival{Handle: 1, Request: request.Request{
+			ID: request.ID{Customer: "noranbus/academy"}, Member: "noranbus",
+			Call: &request.Call{Service: "rider-app", Method: "POST", Path: "/boardings/1"},
+		}}, f.now)
+		Expect(take[dispatch.Refuse](f).Refusal.Reason).To(Equal(request.BadRequest))
+	})
+})
--- a/serving/dispatch/entry.go
+++ b/serving/dispatch/entry.go
@@ -17,6 +17,7 @@
 	created     int64
 	target      target
 	handle      Handle
+	waiting     []Attach // callers that came before the request was accepted
 	isAccepted  bool
 	phase       phase
 	arrived     clock.Instant
@@ -29,6 +30,8 @@
 	choice  route.Choice
 	attempt int
 
+	isDispatched bool // taken out of the queue, which counts it as running
+
 	sentAt     clock.Instant
 	lastToken  clock.Instant
 	started    bool // the current attempt has a choice that the router counts
--- a/serving/request/summary.go
+++ b/serving/request/summary.go
@@ -14,7 +14,7 @@
 }
 
 // Outcome returns how the request ended.
-func (s *Summary) Outcome() Outcome {
+func (s Summary) Outcome() Outcome {
 	if s.Refusal == nil {
 		return Completed
 	}
