--- /dev/null
+++ b/standin/engine/event_kind.go
@@ -0,0 +1,12 @@
+package engine
+
+// EventKind says what happened to a block of the prefix cache.
+type EventKind string
+
+// The kinds of cache events.
+const (
+	// EventInsert says that the block is now cached.
+	EventInsert EventKind = "insert"
+	// EventEvict says that the block is no longer cached.
+	EventEvict EventKind = "evict"
+)
--- /dev/null
+++ b/standin/service/behavior.go
@@ -0,0 +1,40 @@
+package service
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/sycamorecourse/sycamorecourse/standin/host"
+)
+
+// behavior answers the calls of a Service. It implements host.Behavior.
+type behavior struct {
+	service *Service
+}
+
+// Serve implements host.Behavior.
+func (b *behavior) Serve(c *host.Call) {
+	switch {
+	case c.Path == pathRuns:
+		c.ReplyJSON(http.StatusOK, b.service.witness())
+	case strings.HasPrefix(c.Path, host.ControlPrefix):
+		fail(c, http.StatusNotFound, FailureNotFound)
+	default:
+		b.service.run(c)
+	}
+}
+
+// Refuse implements host.Behavior.
+func (*behavior) Refuse(c *host.Call, reason host.Refusal) {
+	switch reason {
+	case host.Throttled:
+		fail(c, http.StatusServiceUnavailable, FailureNotRun)
+	case host.Failing:
+		fail(c, http.StatusInternalServerError, FailureInternal)
+	default:
+		fail(c, http.StatusServiceUnavailable, FailureUnavailable)
+	}
+}
+
+// Gone implements host.Behavior.
+func (*behavior) Gone(*host.Call) {}
