--- /dev/null
+++ b/ctl/command/confirm_result.go
@@ -0,0 +1,39 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/sycamorecourse/sycamorecourse/edge/operator"
+)
+
+// confirmResult prints a confirmation.
+type confirmResult struct {
+	confirmed *operator.Confirmed
+}
+
+func (r *confirmResult) value() any { return r.confirmed }
+
+func (r *confirmResult) exit() subcommands.ExitStatus {
+	if !r.confirmed.Everywhere {
+		return ExitPending
+	}
+	return subcommands.ExitSuccess
+}
+
+func (r *confirmResult) text(out io.Writer) error {
+	c := r.confirmed
+	_, err := fmt.Fprintf(out, "version %d is confirmed: plan %s, by %s at %s\n", c.Version, c.Plan, c.By, c.At.Format(time.RFC3339))
+	if err != nil {
+		return err
+	}
+	if c.Everywhere {
+		_, err = fmt.Fprintln(out, "in force at every live process")
+		return err
+	}
+	_, _ = fmt.Fprintln(out, "not reported yet by:")
+	return printProcesses(out, c.Pending)
+}
--- /dev/null
+++ b/ctl/command/intent.go
@@ -0,0 +1,37 @@
+package command
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"github.com/sycamorecourse/sycamorecourse/edge/operator"
+)
+
+// Intent shows the configuration in force. The zero value works.
+type Intent struct {
+	controllers
+}
+
+// Name implements subcommands.Command.
+func (*Intent) Name() string { return "intent" }
+
+// Synopsis implements subcommands.Command.
+func (*Intent) Synopsis() string { return "show the configuration in force" }
+
+// Usage implements subcommands.Command.
+func (*Intent) Usage() string {
+	return "intent [--json]:\n  Show the confirmed intents of all members and who confirmed the last.\n" + exitUsage
+}
+
+// SetFlags implements subcommands.Command.
+func (i *Intent) SetFlags(f *flag.FlagSet) { i.declare(f) }
+
+// Execute implements subcommands.Command.
+func (i *Intent) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return i.run(f, 0, func(client *operator.Client, _ []string) (printable, error) {
+		head, err := client.Intent()
+		return &intentResult{head: head}, err
+	})
+}
--- a/ctl/command/register.go
+++ b/ctl/command/register.go
@@ -4,12 +4,22 @@
 	_ "net" // links the C library until the first server does
 
 	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
+
+	"github.com/sycamorecourse/sycamorecourse/edge/netlog"
 )
 
-// Register adds the commands of sycamorectl to a commander.
+// Register adds the commands of sycamorectl to a commander. It also keeps the
+// network library's messages off the standard output.
 func Register(commander *subcommands.Commander) {
+	netlog.Install(zerolog.Nop())
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(commander.CommandsCommand(), "")
+	commander.Register(&Confirm{}, "operators")
+	commander.Register(&Intent{}, "operators")
+	commander.Register(&Plan{}, "operators")
+	commander.Register(&Plans{}, "operators")
+	commander.Register(&Status{}, "operators")
 	commander.Register(&Version{}, "")
 }
--- a/edge/operator/client.go
+++ b/edge/operator/client.go
@@ -155,5 +155,5 @@
 
 func isWorthAnother(err error) bool {
 	var p *Problem
-	return errors.As(err, &p) && (p.Code == Unavailable || p.Code == OutcomeUnknown)
+	return errors.As(err, &p) && p.IsUnavailable()
 }
--- a/edge/operator/problem.go
+++ b/edge/operator/problem.go
@@ -74,3 +74,8 @@
 	}
 	return p
 }
+
+// IsUnavailable reports whether the call may be made again later.
+func (p *Problem) IsUnavailable() bool {
+	return p.Code == Unavailable || p.Code == OutcomeUnknown
+}
