--- a/serving/place/search.go
+++ b/serving/place/search.go
@@ -41,18 +41,10 @@
 }
 
 func (s *search) findOptions() {
-	pool := s.request.Pool
-	for _, domain := range pool.FailureDomains {
-		for _, class := range pool.MachineClasses {
-			for _, reclaimable := range []bool{true, false} {
-				offer, ok := s.request.Prices.Find(domain, class, reclaimable)
-				if !ok {
-					continue
-				}
-				s.options = append(s.options, Option{FailureDomain: domain, MachineClass: class, Reclaimable: reclaimable})
-				s.prices = append(s.prices, offer.MicrosPerHour)
-			}
-		}
+	s.options = Options(s.request.Pool, s.request.Prices)
+	for _, o := range s.options {
+		offer, _ := s.request.Prices.Find(o.FailureDomain, o.MachineClass, o.Reclaimable)
+		s.prices = append(s.prices, offer.MicrosPerHour)
 	}
 }
 
