Benchmark of the policies on a model of engines in virtual time

Four gateways, each with its own router and queue, before engines that batch, cache prefixes in limited memory and report late.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	bash docs/demo.sh
 
 bench:
-	go run ./proof/bench
+	go test -run '^$$' -bench . -benchtime 1x ./proof/bench
 
 soak:
 	SYCAMORE_SEEDS=$(SEEDS) go test -count=1 ./proof/...
--- /dev/null
+++ b/proof/bench/gateway.go
@@ -0,0 +1,156 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/serving/admit"
+	"github.com/sycamorecourse/sycamorecourse/serving/route"
+)
+
+// gateway drives one Router and one Queue.
+type gateway struct {
+	sim    *simulation
+	router *route.Router
+	queue  *admit.Queue
+	jobs   map[uint64]*job
+	budget retryBudget
+}
+
+// arrive takes a request of a caller.
+func (g *gateway) arrive(j *job) {
+	g.budget.request()
+	if err := g.queue.Admit(j.entry, g.sim.now); err != nil {
+		g.sim.result.refused(j)
+		return
+	}
+	g.jobs[j.entry.ID] = j
+	g.pump()
+}
+
+// pump drops what expired and sends what can run.
+func (g *gateway) pump() {
+	for _, d := range g.queue.Expired(g.sim.now) {
+		g.drop(d)
+	}
+	var choice route.Choice
+	canRun := func(e admit.Entry) bool {
+		c, err := g.router.Choose(g.routeJob(g.jobs[e.ID]), g.sim.now)
+		choice = c
+		return err == nil
+	}
+	for {
+		e, ok := g.queue.Next(g.sim.now, canRun)
+		if !ok {
+			return
+		}
+		g.send(g.jobs[e.ID], choice)
+	}
+}
+
+func (g *gateway) drop(d admit.Dropped) {
+	j := g.jobs[d.Entry.ID]
+	delete(g.jobs, d.Entry.ID)
+	if j.sent > 0 {
+		g.sim.result.failed(j)
+		return
+	}
+	g.sim.result.refused(j)
+}
+
+func (g *gateway) routeJob(j *job) route.Job {
+	now := g.sim.now
+	return route.Job{
+		Pool:          j.class.Pool,
+		Model:         g.sim.models[j.class.Pool],
+		PromptBlocks:  j.blocks,
+		PromptTokens:  j.promptTokens,
+		MaxTokens:     j.class.MaxTokens,
+		Remaining:     j.entry.Deadline.Sub(now),
+		LatencyTarget: max(j.entry.FirstTokenBy.Sub(now), 1),
+		Avoid:         j.avoid,
+		Customer:      j.entry.Customer,
+	}
+}
+
+func (g *gateway) send(j *job, c route.Choice) {
+	now := g.sim.now
+	a := &attempt{job: j, gateway: g, choice: c, sentAt: now}
+	if j.sent == 0 {
+		j.dispatchedAt = now
+	}
+	j.sent++
+	j.attempts = append(j.attempts, a)
+	g.router.Started(c, g.routeJob(j), now)
+	e := g.sim.engines[c.ID]
+	g.sim.after(g.sim.member.OneWay, func() { e.submit(a) })
+}
+
+func (g *gateway) firstToken(a *attempt) {
+	if a.ended {
+		return
+	}
+	now := g.sim.now
+	a.firstAt = now
+	g.router.FirstToken(a.choice, now.Sub(a.sentAt), now)
+	g.queue.FirstToken(a.job.entry, now.Sub(a.job.dispatchedAt))
+	if a.job.firstAt == 0 {
+		a.job.firstAt = now
+	}
+}
+
+func (g *gateway) finished(a *attempt) {
+	if a.ended {
+		return
+	}
+	now := g.sim.now
+	a.ended = true
+	if n := a.job.answerTokens - 1; n > 0 {
+		g.router.NextTokens(a.choice, n, now.Sub(a.firstAt), now)
+	}
+	g.router.Finished(a.choice, now)
+	g.end(a.job)
+	g.sim.result.answered(a.job, now)
+	g.pump()
+}
+
+func (g *gateway) failed(a *attempt, kind route.FailureKind) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	j := a.job
+	g.router.Failed(a.choice, kind, g.sim.now)
+	j.avoid = append(j.avoid, a.choice.ID)
+	if !j.ended && j.live() == 0 {
+		g.retry(j)
+	}
+	g.pump()
+}
+
+// retry queues a job again if that is allowed. An engine that is dead took no
+// work, so that the non-idempotent may go on too.
+func (g *gateway) retry(j *job) {
+	if j.class.NonIdempotent || j.sent >= maxAttempts || !g.budget.take() {
+		g.end(j)
+		g.sim.result.failed(j)
+		return
+	}
+	j.firstAt = 0
+	g.queue.Requeue(j.entry)
+}
+
+func (g *gateway) end(j *job) {
+	j.ended = true
+	delete(g.jobs, j.entry.ID)
+	g.queue.Finished(j.entry, g.sim.now.Sub(j.dispatchedAt))
+}
+
+// predict is what a gateway expects of a request at an upstream.
+func predict(c *Class, promptTokens int) (firstToken, work time.Duration) {
+	const (
+		prefillTokensPerSecond = 8000
+		step                   = 30 * time.Millisecond
+	)
+	firstToken = step + time.Duration(promptTokens)*time.Second/prefillTokensPerSecond
+	return firstToken, firstToken + time.Duration(c.MaxTokens)*step
+}
--- /dev/null
+++ b/proof/bench/variant.go
@@ -0,0 +1,26 @@
+package bench
+
+import (
+	"github.com/sycamorecourse/sycamorecourse/serving/admit"
+	"github.com/sycamorecourse/sycamorecourse/serving/route"
+)
+
+// Variant is a set of policies to be measured.
+type Variant struct {
+	// Name names it.
+	Name string
+	// Route configures the routers; the random generator is set for each.
+	Route route.Config
+	// Admit configures the queues.
+	Admit admit.Config
+}
+
+// Variants are those of the report, baselines first.
+func Variants() []Variant {
+	arrival := admit.Config{ArrivalOrder: true}
+	return []Variant{
+		{Name: "round_robin+fifo", Route: route.Config{Policy: route.RoundRobin}, Admit: arrival},
+		{Name: "least_requests+fifo", Route: route.Config{Policy: route.LeastRequests}, Admit: arrival},
+		{Name: "least_requests", Route: route.Config{Policy: route.LeastRequests}},
+	}
+}
