--- a/serving/route/router.go
+++ b/serving/route/router.go
@@ -69,17 +69,9 @@
 
 // ReportLoad takes a report of a replica about itself.
 func (r *Router) ReportLoad(id string, l Load, now clock.Instant) {
-	u := r.upstreams[id]
-	if u == nil {
-		return
-	}
-	at := now.Add(-l.Age)
-	if at.Before(u.loadAt) {
-		return
+	if u := r.upstreams[id]; u != nil {
+		u.report(l, now)
 	}
-	u.load = l
-	u.loadAt = at
-	u.ownAtLoad = u.own
 }
 
 // ReportCache takes events of the prefix cache of a replica.
@@ -134,7 +126,7 @@
 // Finished or Failed follows.
 func (r *Router) Started(c Choice, job Job, now clock.Instant) {
 	if u := r.upstreams[c.ID]; u != nil {
-		u.own++
+		u.start(now)
 	}
 }
 
@@ -149,16 +141,16 @@
 
 // Finished notes that an attempt ended with a whole answer.
 func (r *Router) Finished(c Choice, now clock.Instant) {
-	r.end(c)
+	r.end(c, now)
 }
 
 // Failed notes that an attempt ended without a whole answer.
 func (r *Router) Failed(c Choice, kind FailureKind, now clock.Instant) {
-	r.end(c)
+	r.end(c, now)
 }
 
-func (r *Router) end(c Choice) {
-	if u := r.upstreams[c.ID]; u != nil && u.own > 0 {
-		u.own--
+func (r *Router) end(c Choice, now clock.Instant) {
+	if u := r.upstreams[c.ID]; u != nil {
+		u.end(now)
 	}
 }
--- a/serving/route/upstream.go
+++ b/serving/route/upstream.go
@@ -16,8 +16,9 @@
 	// load is the last report, true at loadAt.
 	load   Load
 	loadAt clock.Instant
-	// ownAtLoad is own when the report came.
+	// ownAtLoad is what own was when the report was true.
 	ownAtLoad int
+	history   ownHistory
 }
 
 func (u *upstream) takesWork() bool {
@@ -31,6 +32,27 @@
 	return max(others, 0) + u.own
 }
 
+// start and end note that a request of this gateway starts or ends.
+func (u *upstream) start(now clock.Instant) {
+	u.own++
+	u.history.add(u.own, now)
+}
+
+func (u *upstream) end(now clock.Instant) {
+	u.own = max(u.own-1, 0)
+	u.history.add(u.own, now)
+}
+
+func (u *upstream) report(l Load, now clock.Instant) {
+	at := now.Add(-l.Age)
+	if at.Before(u.loadAt) {
+		return
+	}
+	u.load = l
+	u.loadAt = at
+	u.ownAtLoad = u.history.countAt(at)
+}
+
 func (u *upstream) isSaturated() bool {
 	limit := u.replica.MaxConcurrent
 	return limit > 0 && u.inProgress() >= limit
