--- /dev/null
+++ b/serving/prefix/index_config.go
@@ -0,0 +1,30 @@
+package prefix
+
+import "time"
+
+// Defaults of a zero IndexConfig.
+const (
+	// DefaultCapacity is the number of blocks that an Index remembers.
+	DefaultCapacity = 1 << 15
+	// DefaultExpiry is how long a holder is believed without news of it.
+	DefaultExpiry = 2 * time.Minute
+)
+
+// IndexConfig holds the parameters of an Index. The zero value works.
+type IndexConfig struct {
+	// Capacity bounds the blocks remembered; 0 means DefaultCapacity.
+	Capacity int
+	// Expiry is how long a holder is believed without news; 0 means
+	// DefaultExpiry.
+	Expiry time.Duration
+}
+
+func (c IndexConfig) withDefaults() IndexConfig {
+	if c.Capacity <= 0 {
+		c.Capacity = DefaultCapacity
+	}
+	if c.Expiry <= 0 {
+		c.Expiry = DefaultExpiry
+	}
+	return c
+}
