Stand-in of the cloud API

The error bodies of the stand-ins are now one type in package host. Measured: specs of table, engine, service and cloud passed under -race, one run each.

--- /dev/null
+++ b/standin/cloud/machine.go
@@ -0,0 +1,15 @@
+package cloud
+
+import (
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
+)
+
+// machine is an instance and what runs on it.
+type machine struct {
+	instance fleet.Instance
+	request  StartRequest
+	upstream Upstream
+	started  clock.Instant
+	ended    clock.Instant
+}
--- /dev/null
+++ b/standin/cloud/prices.go
@@ -0,0 +1,7 @@
+package cloud
+
+// Prices is the answer to GET /v1/prices.
+type Prices struct {
+	// Offers are all kinds of instances.
+	Offers []Offer `json:"offers"`
+}
--- a/standin/engine/behavior.go
+++ b/standin/engine/behavior.go
@@ -48,7 +48,7 @@
 	case "GET " + pathRuns:
 		b.engine.witness(c)
 	default:
-		fail(c, http.StatusNotFound, FailureNotFound, "no such path")
+		c.Fail(http.StatusNotFound, host.FailureNotFound, "no such path")
 	}
 }
 
@@ -59,20 +59,13 @@
 	case http.MethodGet:
 		b.engine.reattach(c, id)
 	default:
-		fail(c, http.StatusMethodNotAllowed, FailureInvalid, "use GET or DELETE")
+		c.Fail(http.StatusMethodNotAllowed, host.FailureInvalid, "use GET or DELETE")
 	}
 }
 
 // Refuse implements host.Behavior.
 func (*behavior) Refuse(c *host.Call, reason host.Refusal) {
-	switch reason {
-	case host.Throttled:
-		fail(c, http.StatusServiceUnavailable, FailureNotRun, "too many requests")
-	case host.Failing:
-		fail(c, http.StatusInternalServerError, FailureInternal, "internal error")
-	default:
-		fail(c, http.StatusServiceUnavailable, FailureUnavailable, "the engine is down")
-	}
+	c.FailRefused(reason, http.StatusServiceUnavailable, host.FailureNotRun)
 }
 
 // Gone implements host.Behavior.
--- a/standin/engine/cache_test.go
+++ b/standin/engine/cache_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sycamorecourse/sycamorecourse/standin/engine"
+	"github.com/sycamorecourse/sycamorecourse/standin/host"
 	"github.com/sycamorecourse/sycamorecourse/standin/hosttest"
 )
 
@@ -97,7 +98,7 @@
 		Expect(last.Usage.CachedTokens).To(Equal(20 + sent))
 		Expect(witnessOf(from, "r").Phase).To(Equal(engine.PhaseExported))
 
-		var f engine.Failure
+		var f host.Failure
 		Expect(hosttest.SendJSON(http.MethodPost, to.Address(), "/v1/completions", request, &f)).To(Equal(http.StatusBadRequest))
 		Expect(f.Error.Type).To(Equal(engine.FailureUnknownHandle))
 	})
@@ -110,7 +111,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		request := ask("other", "b", 3)
 		request.KVHandle = importKV(e, blob).KVHandle
-		var f engine.Failure
+		var f host.Failure
 		Expect(hosttest.SendJSON(http.MethodPost, e.Address(), "/v1/completions", request, &f)).To(Equal(http.StatusBadRequest))
 		Expect(f.Error.Type).To(Equal(engine.FailureUnknownHandle))
 	})
--- a/standin/engine/completion_test.go
+++ b/standin/engine/completion_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sycamorecourse/sycamorecourse/standin/engine"
+	"github.com/sycamorecourse/sycamorecourse/standin/host"
 	"github.com/sycamorecourse/sycamorecourse/standin/hosttest"
 )
 
@@ -82,21 +83,21 @@
 	})
 
 	DescribeTable("refuses what it can't serve",
-		func(change func(*engine.Request), status int, kind engine.FailureType) {
+		func(change func(*engine.Request), status int, kind host.FailureType) {
 			e := start(engine.Config{TokenTime: fast, KVTokens: 100})
 			request := ask("r", "a", 3)
 			change(&request)
-			var f engine.Failure
+			var f host.Failure
 			Expect(hosttest.SendJSON(http.MethodPost, e.Address(), "/v1/completions", request, &f)).To(Equal(status))
 			Expect(f.Error.Type).To(Equal(kind))
 			Expect(witnessOf(e, "r")).To(Equal(engine.RunWitness{}))
 		},
 		Entry("unknown model", func(r *engine.Request) { r.Model = "x" }, 400, engine.FailureUnknownModel),
 		Entry("unknown adapter", func(r *engine.Request) { r.Adapter = "x" }, 400, engine.FailureUnknownAdapter),
-		Entry("no stream", func(r *engine.Request) { r.Stream = false }, 400, engine.FailureInvalid),
-		Entry("no tokens", func(r *engine.Request) { r.MaxTokens = 0 }, 400, engine.FailureInvalid),
-		Entry("resume without text", func(r *engine.Request) { r.ResumeFrom = 1 }, 400, engine.FailureInvalid),
-		Entry("too many tokens", func(r *engine.Request) { r.MaxTokens = 100 }, 400, engine.FailureInvalid),
+		Entry("no stream", func(r *engine.Request) { r.Stream = false }, 400, host.FailureInvalid),
+		Entry("no tokens", func(r *engine.Request) { r.MaxTokens = 0 }, 400, host.FailureInvalid),
+		Entry("resume without text", func(r *engine.Request) { r.ResumeFrom = 1 }, 400, host.FailureInvalid),
+		Entry("too many tokens", func(r *engine.Request) { r.MaxTokens = 100 }, 400, host.FailureInvalid),
 		Entry("unknown KV cache", func(r *engine.Request) { r.KVHandle = "x" }, 400, engine.FailureUnknownHandle),
 	)
 
@@ -126,9 +127,9 @@
 		e := start(engine.Config{Slots: 1, QueueLimit: 1, TokenTime: endless})
 		submit(e, ask("a", "x", 1))
 		submit(e, ask("b", "x", 1))
-		var f engine.Failure
+		var f host.Failure
 		Expect(hosttest.SendJSON(http.MethodPost, e.Address(), "/v1/completions", ask("c", "x", 1), &f)).To(Equal(503))
-		Expect(f.Error.Type).To(Equal(engine.FailureNotRun))
+		Expect(f.Error.Type).To(Equal(host.FailureNotRun))
 		Expect(witnessOf(e, "b").Started).To(BeFalse())
 	})
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -47,18 +46,18 @@
 
 func (e *Engine) complete(c *host.Call) {
 	var request Request
-	if !decode(c, &request) || !e.accepts(c, &request) {
+	if !c.Decode(&request) || !e.accepts(c, &request) {
 		return
 	}
 	next := newRun(request, e.submitted)
 	if next.reserve() > e.config.KVTokens {
-		fail(c, http.StatusBadRequest, FailureInvalid, "the request needs more tokens than the engine holds")
+		c.Fail(http.StatusBadRequest, host.FailureInvalid, "the request needs more tokens than the engine holds")
 		return
 	}
 	if request.KVHandle != "" {
 		tokens, ok := e.kv.take(request)
 		if !ok {
-			fail(c, http.StatusBadRequest, FailureUnknownHandle, "no such KV cache for this prompt")
+			c.Fail(http.StatusBadRequest, FailureUnknownHandle, "no such KV cache for this prompt")
 			return
 		}
 		next.kv = min(tokens, len(next.context))
@@ -74,20 +73,20 @@
 		request.RequestID = "request-" + strconv.FormatUint(e.submitted, 10)
 	}
 	if !request.Stream || request.MaxTokens < 1 || request.ResumeFrom < 0 || !resumeMatches(request) {
-		fail(c, http.StatusBadRequest, FailureInvalid, "stream must be true, max_tokens positive, and resume_text of resume_from tokens")
+		c.Fail(http.StatusBadRequest, host.FailureInvalid, "stream must be true, max_tokens positive, and resume_text of resume_from tokens")
 		return false
 	}
 	switch {
 	case e.Faults().RefuseStart:
-		fail(c, http.StatusServiceUnavailable, FailureNotRun, "new requests are refused")
+		c.Fail(http.StatusServiceUnavailable, host.FailureNotRun, "new requests are refused")
 	case !e.weights.isLoaded(request.Model) && e.weights.isLoading(request.Model):
-		fail(c, http.StatusServiceUnavailable, FailureNotRun, "the model is loading")
+		c.Fail(http.StatusServiceUnavailable, host.FailureNotRun, "the model is loading")
 	case !e.weights.isLoaded(request.Model):
-		fail(c, http.StatusBadRequest, FailureUnknownModel, "no such model here")
+		c.Fail(http.StatusBadRequest, FailureUnknownModel, "no such model here")
 	case !e.weights.hasAdapter(request.Adapter):
-		fail(c, http.StatusBadRequest, FailureUnknownAdapter, "no such adapter here")
+		c.Fail(http.StatusBadRequest, FailureUnknownAdapter, "no such adapter here")
 	case e.scheduler.isFull():
-		fail(c, http.StatusServiceUnavailable, FailureNotRun, "the queue is full")
+		c.Fail(http.StatusServiceUnavailable, host.FailureNotRun, "the queue is full")
 	default:
 		return true
 	}
@@ -101,7 +100,7 @@
 func (e *Engine) cancel(c *host.Call, id string) {
 	r := e.records.latest[id]
 	if r == nil {
-		fail(c, http.StatusNotFound, FailureNotFound, "no such request")
+		c.Fail(http.StatusNotFound, host.FailureNotFound, "no such request")
 		return
 	}
 	e.scheduler.end(r, PhaseCanceled)
@@ -116,12 +115,16 @@
 func (e *Engine) reattach(c *host.Call, id string) {
 	r := e.records.latest[id]
 	if r == nil {
-		fail(c, http.StatusNotFound, FailureNotFound, "no such request")
+		c.Fail(http.StatusNotFound, host.FailureNotFound, "no such request")
 		return
 	}
-	from, err := strconv.Atoi(orZero(c.Query.Get("from")))
-	if err != nil || from < r.request.ResumeFrom || from > r.next {
-		fail(c, http.StatusBadRequest, FailureInvalid, "from must be a token that was generated here, or the next one")
+	number, ok := c.QueryNumber("from")
+	if !ok {
+		return
+	}
+	from := int(number)
+	if from < r.request.ResumeFrom || from > r.next {
+		c.Fail(http.StatusBadRequest, host.FailureInvalid, "from must be a token that was generated here, or the next one")
 		return
 	}
 	r.attach(c, from)
@@ -138,12 +141,12 @@
 
 func (e *Engine) order(c *host.Call) {
 	var order Order
-	if !decode(c, &order) {
+	if !c.Decode(&order) {
 		return
 	}
 	last := e.weights.fencing
 	if !e.weights.order(order) {
-		c.ReplyJSON(http.StatusConflict, Failure{Error: FailureDetail{
+		c.ReplyJSON(http.StatusConflict, host.Failure{Error: host.FailureDetail{
 			Type:    FailureStale,
 			Message: "a newer order was taken",
 			Last:    last,
@@ -154,9 +157,8 @@
 }
 
 func (e *Engine) cacheEvents(c *host.Call) {
-	seq, err := strconv.ParseUint(orZero(c.Query.Get("after")), 10, 64)
-	if err != nil {
-		fail(c, http.StatusBadRequest, FailureInvalid, "after must be a number")
+	seq, ok := c.QueryNumber("after")
+	if !ok {
 		return
 	}
 	c.ReplyJSON(http.StatusOK, e.events.after(seq))
@@ -164,22 +166,22 @@
 
 func (e *Engine) exportKV(c *host.Call) {
 	var request ExportRequest
-	if !decode(c, &request) {
+	if !c.Decode(&request) {
 		return
 	}
 	r := e.records.latest[request.RequestID]
 	switch {
 	case r == nil:
-		fail(c, http.StatusNotFound, FailureNotFound, "no such request")
+		c.Fail(http.StatusNotFound, host.FailureNotFound, "no such request")
 		return
 	case r.phase != PhaseDecode:
-		fail(c, http.StatusConflict, FailureNoCache, "the request does not generate")
+		c.Fail(http.StatusConflict, FailureNoCache, "the request does not generate")
 		return
 	}
 	k := &kvCache{Model: r.request.Model, Adapter: r.request.Adapter, Seed: r.seed, Tokens: r.tokens()}
 	blob, err := k.encode()
 	if err != nil {
-		fail(c, http.StatusInternalServerError, FailureInternal, err.Error())
+		c.Fail(http.StatusInternalServerError, host.FailureInternal, err.Error())
 		return
 	}
 	e.scheduler.end(r, PhaseExported)
@@ -194,7 +196,7 @@
 func (e *Engine) importKV(c *host.Call) {
 	k, err := decodeKVCache(c.Body)
 	if err != nil {
-		fail(c, http.StatusBadRequest, FailureInvalid, err.Error())
+		c.Fail(http.StatusBadRequest, host.FailureInvalid, err.Error())
 		return
 	}
 	e.After(e.transferTime(k), func() {
@@ -214,18 +216,3 @@
 		Orders:   append([]OrderWitness{}, e.weights.orders...),
 	})
 }
-
-func decode(c *host.Call, v any) bool {
-	if err := json.Unmarshal(c.Body, v); err != nil {
-		fail(c, http.StatusBadRequest, FailureInvalid, err.Error())
-		return false
-	}
-	return true
-}
-
-func orZero(text string) string {
-	if text == "" {
-		return "0"
-	}
-	return text
-}
--- a/standin/engine/engine_suite_test.go
+++ b/standin/engine/engine_suite_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sycamorecourse/sycamorecourse/standin/engine"
+	"github.com/sycamorecourse/sycamorecourse/standin/host"
 	"github.com/sycamorecourse/sycamorecourse/standin/hosttest"
 )
 
@@ -77,11 +78,11 @@
 }
 
 // failureOf reads up to the error that ends a stream.
-func failureOf(s *hosttest.Stream) engine.FailureType {
+func failureOf(s *hosttest.Stream) host.FailureType {
 	for {
 		data, err := s.Next()
 		Expect(err).NotTo(HaveOccurred())
-		var f engine.Failure
+		var f host.Failure
 		Expect(json.Unmarshal([]byte(data), &f)).To(Succeed(), data)
 		if f.Error.Type != "" {
 			return f.Error.Type
--- a/standin/engine/phase.go
+++ b/standin/engine/phase.go
@@ -1,5 +1,7 @@
 package engine
 
+import "github.com/sycamorecourse/sycamorecourse/standin/host"
+
 // Phase is where a run is in its life.
 type Phase string
 
@@ -31,7 +33,7 @@
 }
 
 // failure returns the error that ends the streams of a run that was cut short.
-func (p Phase) failure() FailureType {
+func (p Phase) failure() host.FailureType {
 	switch p {
 	case PhaseCanceled:
 		return FailureCanceled
--- a/standin/engine/state_test.go
+++ b/standin/engine/state_test.go
@@ -61,12 +61,12 @@
 })
 
 var _ = Describe("Orders", func() {
-	order := func(e *engine.Engine, fencing uint64, models ...engine.Model) (int, engine.State, engine.Failure) {
+	order := func(e *engine.Engine, fencing uint64, models ...engine.Model) (int, engine.State, host.Failure) {
 		body, err := json.Marshal(engine.Order{Fencing: fencing, Wanted: engine.Wanted{Models: models, Adapters: []string{"ad"}, Role: "decode"}})
 		Expect(err).NotTo(HaveOccurred())
 		status, _, answer, err := hosttest.Send(http.MethodPost, e.Address(), "/v1/orders", nil, body)
 		Expect(err).NotTo(HaveOccurred())
-		return status, decoded[engine.State](answer), decoded[engine.Failure](answer)
+		return status, decoded[engine.State](answer), decoded[host.Failure](answer)
 	}
 	state := func(e *engine.Engine) engine.State {
 		var s engine.State
@@ -115,9 +115,9 @@
 		order(e, 1, engine.Model{Name: "n", Version: "1"})
 		request := ask("r", "x", 1)
 		request.Model = "n"
-		var f engine.Failure
+		var f host.Failure
 		Expect(hosttest.SendJSON(http.MethodPost, e.Address(), "/v1/completions", request, &f)).To(Equal(http.StatusServiceUnavailable))
-		Expect(f.Error.Type).To(Equal(engine.FailureNotRun))
+		Expect(f.Error.Type).To(Equal(host.FailureNotRun))
 	})
 
 	It("refuses an old fencing number when it checks", func() {
@@ -147,14 +147,14 @@
 })
 
 var _ = Describe("Faults", func() {
-	refusal := func(e *engine.Engine) (int, engine.FailureType) {
-		var f engine.Failure
+	refusal := func(e *engine.Engine) (int, host.FailureType) {
+		var f host.Failure
 		status := hosttest.SendJSON(http.MethodPost, e.Address(), "/v1/completions", ask("r", "x", 1), &f)
 		return status, f.Error.Type
 	}
 
 	DescribeTable("refuse a request that was not run",
-		func(f host.Faults, status int, kind engine.FailureType) {
+		func(f host.Faults, status int, kind host.FailureType) {
 			e := start(engine.Config{})
 			hosttest.SetFaults(e.Address(), f)
 			gotStatus, gotKind := refusal(e)
@@ -162,9 +162,9 @@
 			Expect(gotKind).To(Equal(kind))
 			Expect(witnessOf(e, "r")).To(Equal(engine.RunWitness{}))
 		},
-		Entry("down", host.Faults{Down: true}, 503, engine.FailureUnavailable),
-		Entry("failing", host.Faults{Down: true, Mode: host.ModeError}, 500, engine.FailureInternal),
-		Entry("refusing new work", host.Faults{RefuseStart: true}, 503, engine.FailureNotRun),
+		Entry("down", host.Faults{Down: true}, 503, host.FailureUnavailable),
+		Entry("failing", host.Faults{Down: true, Mode: host.ModeError}, 500, host.FailureInternal),
+		Entry("refusing new work", host.Faults{RefuseStart: true}, 503, host.FailureNotRun),
 	)
 
 	It("refuses requests over the rate as not run", func() {
@@ -173,7 +173,7 @@
 		rest(submit(e, ask("a", "x", 1)))
 		status, kind := refusal(e)
 		Expect(status).To(Equal(http.StatusServiceUnavailable))
-		Expect(kind).To(Equal(engine.FailureNotRun))
+		Expect(kind).To(Equal(host.FailureNotRun))
 	})
 
 	DescribeTable("cut a request",
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -60,7 +60,7 @@
 	if r.phase == PhaseCompleted {
 		c.WriteStream(doneEvent)
 	} else {
-		c.WriteStream(sseEvent(Failure{Error: FailureDetail{Type: r.phase.failure()}}))
+		c.WriteStream(sseEvent(host.Failure{Error: host.FailureDetail{Type: r.phase.failure()}}))
 	}
 	c.EndStream()
 }
--- a/standin/host/call.go
+++ b/standin/host/call.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/url"
+	"strconv"
 
 	"github.com/sycamorecourse/sycamorecourse/edge/httpd"
 )
@@ -47,6 +48,49 @@
 	c.Reply(status, http.Header{"Content-Type": {"application/json"}}, body)
 }
 
+// Fail sends an error as a whole answer and ends the call.
+func (c *Call) Fail(status int, kind FailureType, message string) {
+	c.ReplyJSON(status, Failure{Error: FailureDetail{Type: kind, Message: message}})
+}
+
+// FailRefused answers a call that is not served. The status and type of a
+// throttled call are given; an outage has its own.
+func (c *Call) FailRefused(reason Refusal, throttled int, kind FailureType) {
+	switch reason {
+	case Throttled:
+		c.Fail(throttled, kind, "too many calls")
+	case Failing:
+		c.Fail(http.StatusInternalServerError, FailureInternal, "internal error")
+	default:
+		c.Fail(http.StatusServiceUnavailable, FailureUnavailable, "out of service")
+	}
+}
+
+// Decode decodes the JSON body into v. When it can't, it answers 400 and
+// returns false.
+func (c *Call) Decode(v any) bool {
+	if err := json.Unmarshal(c.Body, v); err != nil {
+		c.Fail(http.StatusBadRequest, FailureInvalid, err.Error())
+		return false
+	}
+	return true
+}
+
+// QueryNumber returns a parameter of the URL that is a number, 0 when it is
+// absent. When it is no number, it answers 400 and returns false.
+func (c *Call) QueryNumber(name string) (uint64, bool) {
+	text := c.Query.Get(name)
+	if text == "" {
+		return 0, true
+	}
+	n, err := strconv.ParseUint(text, 10, 63)
+	if err != nil {
+		c.Fail(http.StatusBadRequest, FailureInvalid, name+" must be a number")
+		return 0, false
+	}
+	return n, true
+}
+
 // StartStream sends the head of an answer whose body follows in pieces.
 func (c *Call) StartStream(status int, header http.Header) {
 	c.act(func() { c.check(c.exchange.StartStream(status, header)) })
--- a/standin/engine/failure_detail.go
+++ b/standin/host/failure_detail.go
@@ -1,4 +1,4 @@
-package engine
+package host
 
 // FailureDetail describes an error.
 type FailureDetail struct {
--- a/standin/host/host.go
+++ b/standin/host/host.go
@@ -192,7 +192,7 @@
 	if c.Method == http.MethodPost {
 		var faults Faults
 		if err := json.Unmarshal(c.Body, &faults); err != nil || !faults.isValid() {
-			c.Reply(http.StatusBadRequest, nil, []byte("not a valid set of faults\n"))
+			c.Fail(http.StatusBadRequest, FailureInvalid, "not a valid set of faults")
 			return
 		}
 		h.SetFaults(faults)
--- a/standin/service/behavior.go
+++ b/standin/service/behavior.go
@@ -18,7 +18,7 @@
 	case c.Path == pathRuns:
 		c.ReplyJSON(http.StatusOK, b.service.witness())
 	case strings.HasPrefix(c.Path, host.ControlPrefix):
-		fail(c, http.StatusNotFound, FailureNotFound)
+		c.Fail(http.StatusNotFound, host.FailureNotFound, "no such path")
 	default:
 		b.service.run(c)
 	}
@@ -26,14 +26,7 @@
 
 // Refuse implements host.Behavior.
 func (*behavior) Refuse(c *host.Call, reason host.Refusal) {
-	switch reason {
-	case host.Throttled:
-		fail(c, http.StatusServiceUnavailable, FailureNotRun)
-	case host.Failing:
-		fail(c, http.StatusInternalServerError, FailureInternal)
-	default:
-		fail(c, http.StatusServiceUnavailable, FailureUnavailable)
-	}
+	c.FailRefused(reason, http.StatusServiceUnavailable, host.FailureNotRun)
 }
 
 // Gone implements host.Behavior.
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -40,7 +40,7 @@
 
 func (s *Service) run(c *host.Call) {
 	if s.Faults().RefuseStart {
-		fail(c, http.StatusServiceUnavailable, FailureNotRun)
+		c.Fail(http.StatusServiceUnavailable, host.FailureNotRun, "new calls are refused")
 		return
 	}
 	key := s.count(c)
@@ -77,7 +77,3 @@
 func (s *Service) witness() Witness {
 	return Witness{Keys: append([]*KeyWitness{}, s.keys...), Runs: s.runs}
 }
-
-func fail(c *host.Call, status int, kind FailureType) {
-	c.ReplyJSON(status, Failure{Error: FailureDetail{Type: kind}})
-}
