--- a/edge/platform/table/client.go
+++ b/edge/platform/table/client.go
@@ -79,7 +79,7 @@
 		done(collect.Answer{}, &httpc.NotSentError{Address: c.config.Address, Err: err})
 		return
 	}
-	call := &httpc.Call{
+	collect.Start(c.http, &httpc.Call{
 		Address: c.config.Address,
 		Method:  http.MethodPost,
 		Path:    "/",
@@ -89,11 +89,7 @@
 		},
 		Body:    body,
 		Timeout: c.config.Timeout,
-		Sink:    collect.New(c.config.MaxAnswerBytes, done),
-	}
-	if err := c.http.Start(call); err != nil {
-		done(collect.Answer{}, &httpc.NotSentError{Address: c.config.Address, Err: err})
-	}
+	}, c.config.MaxAnswerBytes, done)
 }
 
 func decodeRow(key row.Key, answer collect.Answer, err error) (row.Row, error) {
--- /dev/null
+++ b/edge/platform/weights/doc.go
@@ -0,0 +1,2 @@
+// Package weights is the client of the weight store.
+package weights
