Run stand-ins of the whole platform by sycamorectl standin

Package site starts the table service, object store, weight store and cloud, and on the cloud's instances the engines and services of both members at their size of today. The command prints all addresses as one JSON document and ends on SIGTERM. An engine now reads weights again that the weight store refused.

--- /dev/null
+++ b/ctl/command/standin.go
@@ -0,0 +1,81 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"os"
+	"os/signal"
+
+	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+
+	"github.com/sycamorecourse/sycamorecourse/edge/logs"
+	"github.com/sycamorecourse/sycamorecourse/edge/netlog"
+	"github.com/sycamorecourse/sycamorecourse/edge/settings"
+	"github.com/sycamorecourse/sycamorecourse/standin/site"
+)
+
+// Standin runs stand-ins of the platform until a signal ends it. The zero
+// value works.
+type Standin struct {
+	settings StandinSettings
+	set      *settings.Set
+}
+
+// Name implements subcommands.Command.
+func (*Standin) Name() string { return "standin" }
+
+// Synopsis implements subcommands.Command.
+func (*Standin) Synopsis() string {
+	return "run stand-ins of the platform, the cloud and the upstreams"
+}
+
+// Usage implements subcommands.Command.
+func (*Standin) Usage() string {
+	return "standin [flags]:\n" +
+		"  Run stand-ins of the platform, the cloud and the upstreams on loopback. Their\n" +
+		"  addresses are printed as one JSON document once they are ready. SIGTERM or\n" +
+		"  SIGINT ends them.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (s *Standin) SetFlags(flags *flag.FlagSet) {
+	s.set = settings.New(flags)
+	s.settings.declare(s.set)
+}
+
+// Execute implements subcommands.Command.
+func (s *Standin) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	log := logs.New(os.Stderr, zerolog.InfoLevel)
+	netlog.Install(log)
+	if err := s.set.Load(); err != nil {
+		log.Error().Err(err).Msg("invalid_settings")
+		return subcommands.ExitUsageError
+	}
+	ctx, stop := signal.NotifyContext(ctx, unix.SIGTERM, unix.SIGINT)
+	defer stop()
+	if err := run(ctx, s.settings.config(), log); err != nil {
+		log.Error().Err(err).Msg("standin_failed")
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// run runs a site until the context ends.
+func run(ctx context.Context, config site.Config, log zerolog.Logger) error {
+	s, err := site.Start(config)
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(s.Addresses()); err != nil {
+		_ = s.Stop()
+		return err
+	}
+	log.Info().Int("instances", len(s.Addresses().Instances)).Msg("standin_ready")
+	<-ctx.Done()
+	err = s.Stop()
+	log.Info().Msg("standin_ended")
+	return err
+}
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -2,11 +2,13 @@
 
 import "time"
 
-// The defaults of a Config.
+// DefaultTokenTime is the default time between two tokens.
+const DefaultTokenTime = 10 * time.Millisecond
+
+// The other defaults of a Config.
 const (
 	defaultSlots        = 16
 	defaultQueueLimit   = 1024
-	defaultTokenTime    = 10 * time.Millisecond
 	defaultCacheBlocks  = 4096
 	defaultKVTokens     = 1 << 18
 	defaultLinger       = 5 * time.Second
@@ -73,7 +75,7 @@
 	setDefault(&c.Name, "engine")
 	setDefault(&c.Slots, defaultSlots)
 	setDefault(&c.QueueLimit, defaultQueueLimit)
-	setDefault(&c.TokenTime, defaultTokenTime)
+	setDefault(&c.TokenTime, DefaultTokenTime)
 	setDefault(&c.CacheBlocks, defaultCacheBlocks)
 	setDefault(&c.KVTokens, defaultKVTokens)
 	setDefault(&c.Linger, defaultLinger)
--- a/standin/engine/weights.go
+++ b/standin/engine/weights.go
@@ -4,10 +4,14 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/standin/host"
 )
 
+// fetchRetryDelay is the time between two reads of the same weights.
+const fetchRetryDelay = 200 * time.Millisecond
+
 // weights are the models, adapters and role of an engine, and the orders that
 // change them.
 type weights struct {
@@ -88,13 +92,20 @@
 	})
 }
 
+// fetched loads the weights that came, or fetches them again after a while.
 func (w *weights) fetched(m Model, err error) {
-	if err == nil {
+	switch {
+	case w.loading[m.Name] != m.Version:
+	case err != nil:
+		w.host.After(fetchRetryDelay, func() { w.retry(m) })
+	default:
 		w.load(m)
-		return
 	}
+}
+
+func (w *weights) retry(m Model) {
 	if w.loading[m.Name] == m.Version {
-		delete(w.loading, m.Name)
+		w.fetch(m)
 	}
 }
 
