--- a/ctl/command/register.go
+++ b/ctl/command/register.go
@@ -23,5 +23,6 @@
 	commander.Register(&Call{}, "callers")
 	commander.Register(&Request{}, "callers")
 	commander.Register(&Dump{}, "")
+	commander.Register(&Standin{}, "")
 	commander.Register(&Version{}, "")
 }
