--- /dev/null
+++ b/serving/order/model.go
@@ -0,0 +1,9 @@
+package order
+
+// Model names the weights of a model.
+type Model struct {
+	// Name is the name of the model.
+	Name string `json:"name"`
+	// Version is the version of the weights.
+	Version string `json:"version"`
+}
--- a/serving/place/ledger.go
+++ b/serving/place/ledger.go
@@ -155,3 +155,12 @@
 	}
 	return nil
 }
+
+// Equal reports whether two ledgers hold the same.
+func (l *Ledger) Equal(other *Ledger) bool {
+	return slices.EqualFunc(l.Holdings, other.Holdings, func(a, b Holding) bool {
+		sameEnd := a.EndAt.Equal(b.EndAt)
+		a.EndAt, b.EndAt = time.Time{}, time.Time{}
+		return a == b && sameEnd
+	})
+}
