Choose by the predicted time to the first token

The prediction is the step time at the estimated requests in progress plus the prompt tokens that this gateway has in flight there, times the slowness that was observed of the replica. A choice carries what its events need, and the incarnation of its replica, so that late events of a removed one are ignored.

--- a/proof/bench/gateway.go
+++ b/proof/bench/gateway.go
@@ -80,7 +80,7 @@
 	}
 	j.sent++
 	j.attempts = append(j.attempts, a)
-	g.router.Started(c, g.routeJob(j), now)
+	g.router.Started(&a.choice, g.routeJob(j), now)
 	e := g.sim.engines[c.ID]
 	g.sim.after(g.sim.member.OneWay, func() { e.submit(a) })
 }
@@ -91,7 +91,7 @@
 	}
 	now := g.sim.now
 	a.firstAt = now
-	g.router.FirstToken(a.choice, now.Sub(a.sentAt), now)
+	g.router.FirstToken(&a.choice, now.Sub(a.sentAt), now)
 	g.queue.FirstToken(a.job.entry, now.Sub(a.job.dispatchedAt))
 	if a.job.firstAt == 0 {
 		a.job.firstAt = now
@@ -105,9 +105,9 @@
 	now := g.sim.now
 	a.ended = true
 	if n := a.job.answerTokens - 1; n > 0 {
-		g.router.NextTokens(a.choice, n, now.Sub(a.firstAt), now)
+		g.router.NextTokens(&a.choice, n, now.Sub(a.firstAt), now)
 	}
-	g.router.Finished(a.choice, now)
+	g.router.Finished(&a.choice, now)
 	g.end(a.job)
 	g.sim.result.answered(a.job, now)
 	g.pump()
@@ -119,7 +119,7 @@
 	}
 	a.ended = true
 	j := a.job
-	g.router.Failed(a.choice, kind, g.sim.now)
+	g.router.Failed(&a.choice, kind, g.sim.now)
 	j.avoid = append(j.avoid, a.choice.ID)
 	if !j.ended && j.live() == 0 {
 		g.retry(j)
--- a/proof/bench/variant.go
+++ b/proof/bench/variant.go
@@ -22,5 +22,6 @@
 		{Name: "round_robin+fifo", Route: route.Config{Policy: route.RoundRobin}, Admit: arrival},
 		{Name: "least_requests+fifo", Route: route.Config{Policy: route.LeastRequests}, Admit: arrival},
 		{Name: "least_requests", Route: route.Config{Policy: route.LeastRequests}},
+		{Name: "predicted", Route: route.Config{Policy: route.Predicted}},
 	}
 }
--- a/serving/route/choice.go
+++ b/serving/route/choice.go
@@ -1,9 +1,13 @@
 package route
 
-import "time"
+import (
+	"time"
 
-// Choice is a replica chosen for a request. It is handed back to the Router
-// with each event of the request at that replica.
+	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
+)
+
+// Choice is a replica chosen for an attempt. It is handed back to the Router
+// with each event of the attempt.
 type Choice struct {
 	// ID names the replica.
 	ID string
@@ -14,6 +18,13 @@
 	// CachedTokens is the predicted number of prompt tokens that the replica
 	// need not compute.
 	CachedTokens int
-	// PromptTokens is the number of tokens in the prompt.
-	PromptTokens int
+
+	// incarnation tells the replica from a later one of the same name.
+	incarnation prefix.Holder
+	// uncached is the predicted number of prompt tokens to be computed.
+	uncached int
+	// ordinary is the prediction for a replica of ordinary speed.
+	ordinary time.Duration
+	// computing is set from Started to FirstToken.
+	computing bool
 }
--- a/serving/route/config.go
+++ b/serving/route/config.go
@@ -1,20 +1,24 @@
 package route
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+
+	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
+)
 
 // Config holds the parameters of a Router. The zero value works.
 type Config struct {
 	// Policy names the policy; empty or unknown means DefaultPolicy.
 	Policy Policy
+	// Index bounds what is remembered of prefix caches.
+	Index prefix.IndexConfig
 	// Rand breaks ties and draws samples; nil means a generator with a fixed
 	// seed.
 	Rand *rand.Rand
 }
 
 func (c Config) withDefaults() Config {
-	switch c.Policy {
-	case RoundRobin, LeastRequests:
-	default:
+	if !c.Policy.isKnown() {
 		c.Policy = DefaultPolicy
 	}
 	if c.Rand == nil {
--- a/serving/route/policy.go
+++ b/serving/route/policy.go
@@ -9,7 +9,23 @@
 	RoundRobin Policy = "round_robin"
 	// LeastRequests takes the replica with the fewest requests in progress.
 	LeastRequests Policy = "least_requests"
+	// Predicted takes the replica with the least predicted time to the first
+	// token, without regard to prefix caches.
+	Predicted Policy = "predicted"
 )
 
 // DefaultPolicy is the policy of a zero Config.
-const DefaultPolicy = LeastRequests
+const DefaultPolicy = Predicted
+
+func (p Policy) isKnown() bool {
+	switch p {
+	case RoundRobin, LeastRequests, Predicted:
+		return true
+	default:
+		return false
+	}
+}
+
+func (p Policy) usesCaches() bool {
+	return false
+}
--- a/serving/route/pool.go
+++ b/serving/route/pool.go
@@ -5,9 +5,12 @@
 	members []*upstream
 	// turn is the next position of the round robin.
 	turn int
+	// slowness is the mean of its upstreams.
+	slowness ewma
 }
 
 func (p *pool) add(u *upstream) {
+	u.pool = p
 	u.position = len(p.members)
 	p.members = append(p.members, u)
 }
--- a/serving/route/router.go
+++ b/serving/route/router.go
@@ -4,9 +4,11 @@
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
+	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
 )
 
-// saturatedHint is the least RetryAfter of a SaturatedError.
+// saturatedHint is the RetryAfter of a SaturatedError.
 const saturatedHint = 100 * time.Millisecond
 
 // Router chooses a replica for each request. One thread owns it.
@@ -14,6 +16,12 @@
 	cfg       Config
 	upstreams map[string]*upstream
 	pools     map[string]*pool
+	index     *prefix.Index
+	// holders finds upstreams by their number in the index.
+	holders    map[prefix.Holder]*upstream
+	lastHolder prefix.Holder
+	// calls counts the calls of Choose.
+	calls uint64
 }
 
 // New returns a Router without replicas.
@@ -22,28 +30,48 @@
 		cfg:       cfg.withDefaults(),
 		upstreams: make(map[string]*upstream),
 		pools:     make(map[string]*pool),
+		index:     prefix.NewIndex(cfg.Index),
+		holders:   make(map[prefix.Holder]*upstream),
 	}
 }
 
-// Upsert adds a replica or replaces what is known of it. A replica that is
+// Upsert adds a replica or replaces what is known of it. A replica that was
 // leaving stays so.
 func (r *Router) Upsert(rep Replica) {
-	u, known := r.upstreams[rep.ID]
-	if known && u.replica.Pool == rep.Pool {
-		u.replica = rep
-		return
-	}
-	if known {
+	u := r.upstreams[rep.ID]
+	if u != nil && u.replica.Pool != rep.Pool {
 		r.Remove(rep.ID)
+		u = nil
 	}
-	u = &upstream{replica: rep}
+	if u == nil {
+		u = r.add(rep)
+	}
+	u.replica = rep
+	if rep.State == fleet.Leaving || rep.State == fleet.Gone {
+		u.leaving = true
+	}
+}
+
+func (r *Router) add(rep Replica) *upstream {
+	u := &upstream{}
 	r.upstreams[rep.ID] = u
+	r.renumber(u)
+	u.incarnation = u.holder
 	p := r.pools[rep.Pool]
 	if p == nil {
 		p = &pool{}
 		r.pools[rep.Pool] = p
 	}
 	p.add(u)
+	return u
+}
+
+// renumber gives an upstream a new number, which no block is held under.
+func (r *Router) renumber(u *upstream) {
+	delete(r.holders, u.holder)
+	r.lastHolder++
+	u.holder = r.lastHolder
+	r.holders[u.holder] = u
 }
 
 // Remove forgets a replica.
@@ -53,9 +81,9 @@
 		return
 	}
 	delete(r.upstreams, id)
-	p := r.pools[u.replica.Pool]
-	p.remove(u)
-	if len(p.members) == 0 {
+	delete(r.holders, u.holder)
+	u.pool.remove(u)
+	if len(u.pool.members) == 0 {
 		delete(r.pools, u.replica.Pool)
 	}
 }
@@ -67,7 +95,8 @@
 	}
 }
 
-// ReportLoad takes a report of a replica about itself.
+// ReportLoad takes a report of a replica about itself. Reports older than the
+// last one are ignored.
 func (r *Router) ReportLoad(id string, l Load, now clock.Instant) {
 	if u := r.upstreams[id]; u != nil {
 		u.report(l, now)
@@ -76,81 +105,92 @@
 
 // ReportCache takes events of the prefix cache of a replica.
 func (r *Router) ReportCache(id string, now clock.Instant, events ...CacheEvent) {
+	u := r.upstreams[id]
+	if u == nil {
+		return
+	}
+	for _, e := range events {
+		r.applyCacheEvent(u, e, now)
+	}
 }
 
-// Choose returns the replica that is to run a job, or a *NoReplicaError, or a
-// *SaturatedError. It changes nothing until Started.
-func (r *Router) Choose(job Job, now clock.Instant) (Choice, error) {
-	p := r.pools[job.Pool]
-	if p == nil {
-		return Choice{}, &NoReplicaError{Pool: job.Pool, Model: job.Model}
-	}
-	var best *upstream
-	live, tried := 0, 0
-	n := len(p.members)
-	start := r.cfg.Rand.IntN(n)
-	if r.cfg.Policy == RoundRobin {
-		start = p.turn % n
-	}
-	for i := range n {
-		u := p.members[(start+i)%n]
-		if !u.takesWork() || u.replica.Model != job.Model {
-			continue
-		}
-		live++
-		if job.avoids(u.replica.ID) {
-			tried++
-			continue
-		}
-		if u.isSaturated() {
-			continue
-		}
-		if best == nil || u.inProgress() < best.inProgress() {
-			best = u
-		}
-		if r.cfg.Policy == RoundRobin {
-			break
-		}
-	}
-	if best != nil {
-		p.turn = best.position + 1
-		return Choice{ID: best.replica.ID, Address: best.replica.Address, PromptTokens: job.PromptTokens}, nil
-	}
-	if live == tried {
-		return Choice{}, &NoReplicaError{Pool: job.Pool, Model: job.Model, Tried: tried}
-	}
-	return Choice{}, &SaturatedError{Pool: job.Pool, RetryAfter: saturatedHint}
+func (r *Router) applyCacheEvent(u *upstream, e CacheEvent, now clock.Instant) {
+	if e.Sequence <= u.cacheSequence {
+		return
+	}
+	u.cacheSequence = e.Sequence
+	switch e.Kind {
+	case CacheStored:
+		r.index.Stored(u.holder, e.Blocks, now)
+	case CacheRemoved:
+		r.index.Removed(u.holder, e.Blocks)
+	case CacheCleared:
+		r.renumber(u)
+	}
 }
 
 // Started notes that an attempt was sent to the chosen replica. Exactly one
 // Finished or Failed follows.
-func (r *Router) Started(c Choice, job Job, now clock.Instant) {
-	if u := r.upstreams[c.ID]; u != nil {
-		u.start(now)
+func (r *Router) Started(c *Choice, job Job, now clock.Instant) {
+	u := r.chosen(c)
+	if u == nil {
+		return
+	}
+	u.start(now)
+	u.computing += c.uncached
+	c.computing = true
+	if r.cfg.Policy.usesCaches() {
+		r.index.Stored(u.holder, job.PromptBlocks, now)
 	}
 }
 
 // FirstToken notes that the first token of an attempt, or the status of a plain
 // call, came after a time.
-func (r *Router) FirstToken(c Choice, after time.Duration, now clock.Instant) {
+func (r *Router) FirstToken(c *Choice, after time.Duration, now clock.Instant) {
+	u := r.chosen(c)
+	if u == nil {
+		return
+	}
+	r.endComputing(u, c)
+	u.speed.observeFirstToken(after, c.ordinary)
+	u.pool.slowness.add(u.speed.slowness.value, speedWeight)
 }
 
 // NextTokens notes that n further tokens of an attempt came over a time.
-func (r *Router) NextTokens(c Choice, n int, over time.Duration, now clock.Instant) {
+func (r *Router) NextTokens(c *Choice, n int, over time.Duration, now clock.Instant) {
+	if u := r.chosen(c); u != nil {
+		u.speed.observeNextTokens(n, over)
+	}
 }
 
 // Finished notes that an attempt ended with a whole answer.
-func (r *Router) Finished(c Choice, now clock.Instant) {
-	r.end(c, now)
+func (r *Router) Finished(c *Choice, now clock.Instant) {
+	if u := r.chosen(c); u != nil {
+		r.endComputing(u, c)
+		u.end(now)
+	}
 }
 
 // Failed notes that an attempt ended without a whole answer.
-func (r *Router) Failed(c Choice, kind FailureKind, now clock.Instant) {
-	r.end(c, now)
+func (r *Router) Failed(c *Choice, kind FailureKind, now clock.Instant) {
+	if u := r.chosen(c); u != nil {
+		r.endComputing(u, c)
+		u.end(now)
+	}
 }
 
-func (r *Router) end(c Choice, now clock.Instant) {
-	if u := r.upstreams[c.ID]; u != nil {
-		u.end(now)
+// chosen returns the upstream of a choice, or nil if it was removed since.
+func (r *Router) chosen(c *Choice) *upstream {
+	u := r.upstreams[c.ID]
+	if u == nil || u.incarnation != c.incarnation {
+		return nil
+	}
+	return u
+}
+
+func (r *Router) endComputing(u *upstream, c *Choice) {
+	if c.computing {
+		u.computing -= c.uncached
+		c.computing = false
 	}
 }
--- /dev/null
+++ b/serving/route/selection.go
@@ -0,0 +1,80 @@
+package route
+
+import (
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
+)
+
+// selection is the best candidate so far of one call of Choose.
+type selection struct {
+	policy Policy
+	job    *Job
+	call   uint64
+	best   candidate
+	// live and tried count the upstreams that take work, and those of them that
+	// the job has tried.
+	live, tried int
+}
+
+// consider takes an upstream into account.
+func (s *selection) consider(u *upstream) {
+	if !u.takesWork() || u.replica.Model != s.job.Model {
+		return
+	}
+	s.live++
+	if s.job.avoids(u.replica.ID) {
+		s.tried++
+		return
+	}
+	if u.isSaturated() {
+		return
+	}
+	c := s.candidate(u)
+	if s.best.upstream == nil || s.isBetter(&c, &s.best) {
+		s.best = c
+	}
+}
+
+func (s *selection) candidate(u *upstream) candidate {
+	c := candidate{upstream: u, uncached: s.job.PromptTokens}
+	if u.matchedIn == s.call {
+		c.cached = min(u.matched*prefix.BlockTokens, s.job.PromptTokens)
+		c.uncached -= c.cached
+	}
+	c.ordinary = u.ordinaryFirstToken(c.uncached)
+	slowness := u.slowness()
+	c.predicted = time.Duration(float64(c.ordinary) * slowness)
+	return c
+}
+
+func (s *selection) isBetter(a, b *candidate) bool {
+	switch s.policy {
+	case RoundRobin:
+		return false
+	case LeastRequests:
+		return a.upstream.inProgress() < b.upstream.inProgress()
+	default:
+		return a.predicted < b.predicted
+	}
+}
+
+func (s *selection) choice() Choice {
+	c := &s.best
+	return Choice{
+		ID:                  c.upstream.replica.ID,
+		Address:             c.upstream.replica.Address,
+		PredictedFirstToken: c.predicted,
+		CachedTokens:        c.cached,
+		incarnation:         c.upstream.incarnation,
+		uncached:            c.uncached,
+		ordinary:            c.ordinary,
+	}
+}
+
+func (s *selection) failure() error {
+	if s.live == s.tried {
+		return &NoReplicaError{Pool: s.job.Pool, Model: s.job.Model, Tried: s.tried}
+	}
+	return &SaturatedError{Pool: s.job.Pool, RetryAfter: saturatedHint}
+}
--- /dev/null
+++ b/serving/route/speed.go
@@ -0,0 +1,45 @@
+package route
+
+import "time"
+
+// Times of an upstream of ordinary speed, before anything was observed.
+const (
+	stepTime           = 25 * time.Millisecond
+	stepTimePerRequest = 500 * time.Microsecond
+	timePerToken       = 100 * time.Microsecond
+)
+
+// Parameters of the observation of the speed.
+const (
+	speedWeight    = 0.15
+	leastSlowness  = 0.1
+	greatestSlow   = 20.0
+	ordinarySpeed  = 1.0
+	ordinaryMillis = 30.0
+)
+
+// speed is how an upstream compares with an ordinary one.
+type speed struct {
+	// slowness is the time to the first token over that of an ordinary one.
+	slowness ewma
+	// tokenMillis is the time between two tokens, in milliseconds.
+	tokenMillis ewma
+}
+
+// firstToken is the time to the first token at an ordinary upstream, given the
+// requests in progress and the prompt tokens to compute before it.
+func firstToken(inProgress, tokens int) time.Duration {
+	step := stepTime + time.Duration(inProgress)*stepTimePerRequest
+	return step + time.Duration(tokens)*timePerToken
+}
+
+func (s *speed) observeFirstToken(after, ordinary time.Duration) {
+	ratio := float64(after) / float64(max(ordinary, 1))
+	s.slowness.add(min(max(ratio, leastSlowness), greatestSlow), speedWeight)
+}
+
+func (s *speed) observeNextTokens(n int, over time.Duration) {
+	if n > 0 {
+		s.tokenMillis.add(float64(over)/float64(time.Millisecond)/float64(n), speedWeight)
+	}
+}
--- a/serving/route/upstream.go
+++ b/serving/route/upstream.go
@@ -1,24 +1,43 @@
 package route
 
 import (
+	"time"
+
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
+	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
 )
 
 // upstream is a replica with what is known about it.
 type upstream struct {
 	replica Replica
+	pool    *pool
 	// position is its index in its pool.
 	position int
 	leaving  bool
-	// own is the number of requests of this gateway in progress at it.
-	own int
+	// holder is its number in the index of prefix caches.
+	holder prefix.Holder
+	// incarnation is the first holder number that it had.
+	incarnation prefix.Holder
+	// cacheSequence is the number of the last cache event.
+	cacheSequence uint64
+
+	// own is the number of requests of this gateway in progress at it, and
+	// computing the prompt tokens that they still have to compute.
+	own       int
+	computing int
+	history   ownHistory
 	// load is the last report, true at loadAt.
 	load   Load
 	loadAt clock.Instant
 	// ownAtLoad is what own was when the report was true.
 	ownAtLoad int
-	history   ownHistory
+
+	speed speed
+	// matched is the number of prompt blocks held, found in the lookup of the
+	// call matchedIn of Choose.
+	matched   int
+	matchedIn uint64
 }
 
 func (u *upstream) takesWork() bool {
@@ -57,3 +76,14 @@
 	limit := u.replica.MaxConcurrent
 	return limit > 0 && u.inProgress() >= limit
 }
+
+// slowness is that of the upstream, or of its pool while it is not known.
+func (u *upstream) slowness() float64 {
+	return u.speed.slowness.or(u.pool.slowness.or(ordinarySpeed))
+}
+
+// ordinaryFirstToken predicts the time to the first token of an upstream of ordinary
+// speed in the place of this one.
+func (u *upstream) ordinaryFirstToken(uncached int) time.Duration {
+	return firstToken(u.inProgress(), u.computing+uncached)
+}
