--- a/proof/bench/variant.go
+++ b/proof/bench/variant.go
@@ -23,5 +23,6 @@
 		{Name: "least_requests+fifo", Route: route.Config{Policy: route.LeastRequests}, Admit: arrival},
 		{Name: "least_requests", Route: route.Config{Policy: route.LeastRequests}},
 		{Name: "predicted", Route: route.Config{Policy: route.Predicted}},
+		{Name: "predicted_cached", Route: route.Config{Policy: route.PredictedCached}},
 	}
 }
--- a/serving/route/policy.go
+++ b/serving/route/policy.go
@@ -12,14 +12,16 @@
 	// Predicted takes the replica with the least predicted time to the first
 	// token, without regard to prefix caches.
 	Predicted Policy = "predicted"
+	// PredictedCached is Predicted with the prefix caches taken into account.
+	PredictedCached Policy = "predicted_cached"
 )
 
 // DefaultPolicy is the policy of a zero Config.
-const DefaultPolicy = Predicted
+const DefaultPolicy = PredictedCached
 
 func (p Policy) isKnown() bool {
 	switch p {
-	case RoundRobin, LeastRequests, Predicted:
+	case RoundRobin, LeastRequests, Predicted, PredictedCached:
 		return true
 	default:
 		return false
@@ -27,5 +29,5 @@
 }
 
 func (p Policy) usesCaches() bool {
-	return false
+	return p == PredictedCached
 }
