--- a/proof/bench/variant.go
+++ b/proof/bench/variant.go
@@ -24,5 +24,6 @@
 		{Name: "least_requests", Route: route.Config{Policy: route.LeastRequests}},
 		{Name: "predicted", Route: route.Config{Policy: route.Predicted}},
 		{Name: "predicted_cached", Route: route.Config{Policy: route.PredictedCached}},
+		{Name: "slack", Route: route.Config{Policy: route.Slack}},
 	}
 }
--- a/serving/route/candidate.go
+++ b/serving/route/candidate.go
@@ -10,4 +10,6 @@
 	// ordinary is the time to the first token at ordinary speed, and predicted
 	// that at the upstream's own.
 	ordinary, predicted time.Duration
+	// cost is what computing the job takes, in machine time by price.
+	cost float64
 }
--- a/serving/route/policy.go
+++ b/serving/route/policy.go
@@ -14,6 +14,10 @@
 	Predicted Policy = "predicted"
 	// PredictedCached is Predicted with the prefix caches taken into account.
 	PredictedCached Policy = "predicted_cached"
+	// Slack takes the replica that computes the request at the least cost among
+	// those predicted to meet the latency target with a margin, or else the one
+	// with the least predicted time to the first token.
+	Slack Policy = "slack"
 )
 
 // DefaultPolicy is the policy of a zero Config.
@@ -21,7 +25,7 @@
 
 func (p Policy) isKnown() bool {
 	switch p {
-	case RoundRobin, LeastRequests, Predicted, PredictedCached:
+	case RoundRobin, LeastRequests, Predicted, PredictedCached, Slack:
 		return true
 	default:
 		return false
@@ -29,5 +33,5 @@
 }
 
 func (p Policy) usesCaches() bool {
-	return p == PredictedCached
+	return p == PredictedCached || p == Slack
 }
--- a/serving/route/router_property_test.go
+++ b/serving/route/router_property_test.go
@@ -14,7 +14,7 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/route"
 )
 
-var policies = []route.Policy{route.RoundRobin, route.LeastRequests, route.Predicted, route.PredictedCached}
+var policies = []route.Policy{route.RoundRobin, route.LeastRequests, route.Predicted, route.PredictedCached, route.Slack}
 
 const modelLimit = 3
 
--- a/serving/route/selection.go
+++ b/serving/route/selection.go
@@ -6,6 +6,10 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
 )
 
+// slackPart is the part of the latency target within which the prediction has
+// to lie for the cheapest replica to be taken.
+const slackPart = 0.5
+
 // selection is the best candidate so far of one call of Choose.
 type selection struct {
 	policy Policy
@@ -45,6 +49,8 @@
 	c.ordinary = u.ordinaryFirstToken(c.uncached)
 	slowness := u.slowness()
 	c.predicted = time.Duration(float64(c.ordinary) * slowness)
+	work := float64(time.Duration(c.uncached)*timePerToken) * slowness
+	c.cost = work * float64(max(u.replica.MicrosPerHour, 1))
 	return c
 }
 
@@ -54,11 +60,22 @@
 		return false
 	case LeastRequests:
 		return a.upstream.inProgress() < b.upstream.inProgress()
+	case Slack:
+		return s.isBetterBySlack(a, b)
 	default:
 		return a.predicted < b.predicted
 	}
 }
 
+func (s *selection) isBetterBySlack(a, b *candidate) bool {
+	limit := time.Duration(float64(s.job.LatencyTarget) * slackPart)
+	aMeets, bMeets := a.predicted <= limit, b.predicted <= limit
+	if aMeets && bMeets && a.cost != b.cost {
+		return a.cost < b.cost
+	}
+	return a.predicted < b.predicted
+}
+
 func (s *selection) choice() Choice {
 	c := &s.best
 	return Choice{
