--- a/proof/bench/report.go
+++ b/proof/bench/report.go
@@ -56,3 +56,20 @@
 	{2, func(r *Result) float64 { return r.MaxOverMean }},
 	{3, (*Result).AttemptsPerRequest},
 }
+
+// WriteCapacity writes, for each variant, the capacity of a member, the cost of
+// a thousand answers there, and the goodput beyond it.
+func WriteCapacity(w io.Writer, m Member, variants []Variant, seeds int) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(t, "%s, greatest load with %.0f %% in target\n", m.Name, 100*TargetShare)
+	fmt.Fprintln(t, "policy\tload\tcost/1000\trecomputed\tgoodput/s\tat 1.5x\tat 2x\t")
+	for _, v := range variants {
+		load := Capacity(m, v, seeds)
+		results := RunSeeds(m, Scenario{Name: "capacity", Load: load}, v, seeds)
+		fmt.Fprintf(t, "%s\t%.2f\t%s\t%s\t", v.Name, load,
+			figure(results, (*Result).CostPerThousand).text(4), figure(results, (*Result).RecomputedPerAnswer).text(0))
+		fmt.Fprintf(t, "%.1f\t%.1f\t%.1f\t\n", Goodput(m, v, load, seeds), Goodput(m, v, 1.5*load, seeds), Goodput(m, v, 2*load, seeds))
+	}
+	fmt.Fprintln(t)
+	return t.Flush()
+}
--- a/proof/bench/report_test.go
+++ b/proof/bench/report_test.go
@@ -15,14 +15,28 @@
 	variants  = flag.String("variants", "", "prefix of the variants of the report")
 )
 
-// BenchmarkPolicyReport writes the tables of docs/POLICY.md.
-func BenchmarkPolicyReport(b *testing.B) {
+func chosenVariants() []bench.Variant {
 	var chosen []bench.Variant
 	for _, v := range bench.Variants() {
 		if strings.HasPrefix(v.Name, *variants) {
 			chosen = append(chosen, v)
 		}
 	}
+	return chosen
+}
+
+// BenchmarkCapacity writes the table of capacities of docs/POLICY.md.
+func BenchmarkCapacity(b *testing.B) {
+	for _, m := range []bench.Member{bench.Noranbus(), bench.Cooperative()} {
+		if err := bench.WriteCapacity(os.Stdout, m, chosenVariants(), *seeds); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkPolicyReport writes the tables of docs/POLICY.md.
+func BenchmarkPolicyReport(b *testing.B) {
+	chosen := chosenVariants()
 	for _, m := range []bench.Member{bench.Noranbus(), bench.Cooperative()} {
 		for _, s := range bench.Scenarios() {
 			if !strings.HasPrefix(s.Name, *scenarios) {
