--- a/proof/bench/variant.go
+++ b/proof/bench/variant.go
@@ -22,5 +22,8 @@
 		{Name: "round_robin+fifo", Route: route.Config{Policy: route.RoundRobin}, Admit: arrival},
 		{Name: "least_requests+fifo", Route: route.Config{Policy: route.LeastRequests}, Admit: arrival},
 		{Name: "least_requests", Route: route.Config{Policy: route.LeastRequests}},
+		{Name: "predicted", Route: route.Config{Policy: route.Predicted}},
+		{Name: "predicted_cached", Route: route.Config{Policy: route.PredictedCached}},
+		{Name: "slack", Route: route.Config{Policy: route.Slack}},
 	}
 }
