httpd: leave the close after the last answer to the caller

Cause: the server closed a connection from a duty while its poller could hold an event of the same descriptor; the event then ended the connection that got the descriptor next. A second cause stood beside it: a request that came right after an answer could find that answer's exchange still open and was cut off. Ruled out: unsent data at the close, the idle timer. Change: the caller closes; a request that comes early waits for the open one.

--- a/edge/httpd/exchange.go
+++ b/edge/httpd/exchange.go
@@ -11,6 +11,10 @@
 	"time"
 )
 
+// lingerTimeout bounds the wait for a caller to close its connection after the
+// last answer.
+const lingerTimeout = 5 * time.Second
+
 // Exchange is one request and the means to answer it. Its methods are called
 // by one thread at a time and never block; a write to a caller who is gone
 // fails with a *GoneError.
@@ -85,7 +89,7 @@
 // Abort cuts the connection, so that the caller can't take what it got for a
 // whole answer.
 func (x *Exchange) Abort() {
-	x.state.open.CompareAndSwap(x, nil)
+	x.state.abort(x)
 	_ = x.conn.Close()
 }
 
@@ -122,12 +126,15 @@
 	return nil
 }
 
-// finish frees the connection for its next request, or ends it.
+// finish frees the connection for its next request. After the last answer the
+// caller is to close it: were it closed here, while the poller may hold an event
+// of its descriptor, the event would end whichever connection gets the same
+// descriptor next.
 func (x *Exchange) finish() {
-	x.state.open.CompareAndSwap(x, nil)
+	wait := x.idle
 	if !x.keepAlive {
-		_ = x.conn.Close()
-		return
+		wait = lingerTimeout
 	}
-	_ = x.conn.SetReadDeadline(time.Now().Add(x.idle))
+	_ = x.conn.SetReadDeadline(time.Now().Add(wait))
+	x.state.end(x)
 }
--- a/edge/httpd/server.go
+++ b/edge/httpd/server.go
@@ -112,14 +112,10 @@
 		idle:      s.config.IdleTimeout,
 		keepAlive: !r.Close,
 	}
-	if !state.open.CompareAndSwap(nil, x) {
-		// A request was sent before the answer to the last one had ended. The
-		// bytes of that answer must stay whole, so this request is not served.
+	if !state.begin(x) {
+		// Two requests were sent before the answer to the one before them.
 		_ = conn.Close()
-		return
 	}
-	_ = conn.SetReadDeadline(time.Time{})
-	s.handler.Serve(x)
 }
 
 // stateOf returns the state of a connection, made at its first request.
--- a/serving/dispatch/core_attempt.go
+++ b/serving/dispatch/core_attempt.go
@@ -113,9 +113,9 @@
 }
 
 func (c *Core) start(e *entry, choice route.Choice, job route.Job, now clock.Instant) {
-	c.router.Started(choice, job, now)
-	e.isDispatched = true
 	e.choice = choice
+	c.router.Started(&e.choice, job, now)
+	e.isDispatched = true
 	e.started = true
 	e.firstSeen = false
 	e.reattached = false
@@ -209,12 +209,12 @@
 		return
 	}
 	e.started = false
-	c.router.Failed(e.choice, routeFailure(kind), now)
+	c.router.Failed(&e.choice, routeFailure(kind), now)
 }
 
 func (c *Core) succeed(e *entry, reply *request.Reply, now clock.Instant) {
 	e.started = false
-	c.router.Finished(e.choice, now)
+	c.router.Finished(&e.choice, now)
 	c.completeClaim(e, reply)
 	c.end(e, request.Summary{Reply: reply}, now)
 	c.pump(now)
@@ -246,7 +246,7 @@
 func (c *Core) dropAttempt(e *entry, now clock.Instant) {
 	if e.started {
 		e.started = false
-		c.router.Failed(e.choice, route.Canceled, now)
+		c.router.Failed(&e.choice, route.Canceled, now)
 	}
 }
 
@@ -311,10 +311,10 @@
 	if !e.firstSeen {
 		e.firstSeen = true
 		after := now.Sub(e.sentAt)
-		c.router.FirstToken(e.choice, after, now)
+		c.router.FirstToken(&e.choice, after, now)
 		c.queue.FirstToken(e.queued, after)
 	} else {
-		c.router.NextTokens(e.choice, tokens, now.Sub(e.lastToken), now)
+		c.router.NextTokens(&e.choice, tokens, now.Sub(e.lastToken), now)
 	}
 	e.lastToken = now
 }
--- a/serving/dispatch/core_fleet.go
+++ b/serving/dispatch/core_fleet.go
@@ -113,7 +113,7 @@
 	}
 	if e.started {
 		e.started = false
-		c.router.Failed(e.choice, route.Canceled, now)
+		c.router.Failed(&e.choice, route.Canceled, now)
 	}
 	c.requeue(e)
 }
