--- a/daemon/controller/controller_test.go
+++ b/daemon/controller/controller_test.go
@@ -42,8 +42,8 @@
 		for _, domain := range p.FailureDomains {
 			for _, class := range p.MachineClasses {
 				list = append(list,
-					price.Offer{FailureDomain: domain, MachineClass: class, Reclaimable: true, MicrosPerHour: 3_000_000},
-					price.Offer{FailureDomain: domain, MachineClass: class, MicrosPerHour: 8_000_000})
+					price.Offer{FailureDomain: domain, MachineClass: class, Reclaimable: true, MicrosPerHour: 300_000},
+					price.Offer{FailureDomain: domain, MachineClass: class, MicrosPerHour: 800_000})
 			}
 		}
 	}
@@ -86,7 +86,7 @@
 		start = func() (*Controller, *thread.Thread) {
 			s := &Settings{
 				Instance: "entry-1", FailureDomain: "seoul-a", AdminAddress: "127.0.0.1:0", OperatorsAddress: "127.0.0.1:0",
-				AgreedMicrosPerHour: 300_000_000, PlanLifetime: time.Hour, DrainTimeout: 5 * time.Second,
+				AgreedMicrosPerHour: 27_000_000, PlanLifetime: time.Hour, DrainTimeout: 5 * time.Second,
 			}
 			s.FleetInterval = 10 * time.Millisecond
 			cloud := newMemoryCloud(append(offers(members[0]), offers(members[1])...))
--- a/daemon/controller/fleet_test.go
+++ b/daemon/controller/fleet_test.go
@@ -27,10 +27,10 @@
 	runs          uint64
 }
 
-const agreed = intent.Micros(44_000_000)
+const agreed = intent.Micros(4_400_000)
 
 // newWorld has one pool of 6 replicas over 3 failure domains. Reclaimable
-// instances cost 3 units an hour, others 8.
+// instances cost 0.3 units an hour, others 0.8.
 func newWorld() *world {
 	pool := intent.Pool{
 		Name: "depot-app", Kind: intent.PlainService, Replicas: 6, FailureDomains: []string{"a", "b", "c"},
@@ -156,7 +156,7 @@
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			w := newWorld()
 			// With on-demand prices the target does not fit the budget.
-			w.cloud.offers = raise(w.cloud.offers, rapid.Int64Range(0, 6).Draw(t, "raise")*1_000_000)
+			w.cloud.offers = raise(w.cloud.offers, rapid.Int64Range(0, 6).Draw(t, "raise")*100_000)
 			duties := []*fleetDuty{w.start(), w.start()}
 			for range 80 {
 				w.clock.Advance(time.Duration(rapid.IntRange(100, 4000).Draw(t, "ms")) * time.Millisecond)
--- a/daemon/controller/open.go
+++ b/daemon/controller/open.go
@@ -7,6 +7,7 @@
 
 	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
 	"github.com/sycamorecourse/sycamorecourse/edge/orders"
+	"github.com/sycamorecourse/sycamorecourse/edge/platform/cloud"
 	"github.com/sycamorecourse/sycamorecourse/edge/platform/table"
 )
 
@@ -22,7 +23,8 @@
 		return nil, &StartError{Part: "platform client", Err: err}
 	}
 	tables := table.New(table.Config{Address: s.TableAddress}, http)
-	platform := Platform{Table: tables, Cloud: noCloud{}, Engines: orders.New(http, engineTimeout)}
+	clouds := &cloudClient{client: cloud.New(cloud.Config{Address: s.CloudAddress}, http)}
+	platform := Platform{Table: tables, Cloud: clouds, Engines: orders.New(http, engineTimeout)}
 	c := New(s, log, platform, release)
 	c.platform = http
 	c.report.AddRing(http.Stats)
--- a/daemon/controller/settings.go
+++ b/daemon/controller/settings.go
@@ -57,7 +57,7 @@
 	set.Address(&s.AdminAddress, "admin-address", "127.0.0.1:0", "where health, metrics and the dump are served", true)
 	set.Address(&s.OperatorsAddress, "operators-address", "127.0.0.1:0", "where the operators' API is served", true)
 	set.Address(&s.TableAddress, "table-address", "", "the table service", true)
-	set.Address(&s.CloudAddress, "cloud-address", "", "the cloud API; empty: the fleet is not managed", false)
+	set.Address(&s.CloudAddress, "cloud-address", "", "the cloud API", true)
 	set.Address(&s.LinkAddress, "link-address", "", "where links from other processes are taken; empty: no links", false)
 	set.Addresses(&s.Peers, "peers", "", "link addresses of other processes", false)
 	set.File(&s.CertificateFile, "certificate-file", "", "the certificate of this process", false)
