--- /dev/null
+++ b/serving/place/measure_test.go
@@ -0,0 +1,204 @@
+package place_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
+	"github.com/sycamorecourse/sycamorecourse/serving/intent"
+	"github.com/sycamorecourse/sycamorecourse/serving/place"
+	"github.com/sycamorecourse/sycamorecourse/serving/price"
+)
+
+// onDemand holds the prices on demand; reclaimable instances cost 32, 38 and
+// 44% of that in a member's failure domains.
+var onDemand = map[string]int64{"accelerator-large": 2_400_000, "accelerator-small": 1_100_000, "general": 120_000}
+
+func example(member string) *intent.Document {
+	text, err := os.ReadFile("../../docs/examples/" + member + ".json")
+	Expect(err).NotTo(HaveOccurred())
+	d := &intent.Document{}
+	Expect(json.Unmarshal(text, d)).To(Succeed())
+	return d
+}
+
+func pricesOf(pool *intent.Pool) price.List {
+	var list price.List
+	for i, domain := range pool.FailureDomains {
+		for _, class := range pool.MachineClasses {
+			full := onDemand[class]
+			list = append(list,
+				price.Offer{FailureDomain: domain, MachineClass: class, MicrosPerHour: full},
+				price.Offer{FailureDomain: domain, MachineClass: class, Reclaimable: true, MicrosPerHour: full * int64(32+6*i) / 100})
+		}
+	}
+	return list
+}
+
+// withoutSpread puts all replicas on the cheapest option.
+func withoutSpread(r place.Request) place.Target {
+	best := r.Prices[0]
+	for _, o := range r.Prices {
+		if o.MicrosPerHour < best.MicrosPerHour {
+			best = o
+		}
+	}
+	o := place.Option{FailureDomain: best.FailureDomain, MachineClass: best.MachineClass, Reclaimable: best.Reclaimable}
+	return place.Target{Groups: []place.Group{{Option: o, Count: r.Pool.Replicas, MicrosPerHour: best.MicrosPerHour}}}
+}
+
+// The times of the simulated cloud and weight store.
+const (
+	bootTime   = 45 * time.Second
+	loadTime   = 60 * time.Second
+	maxLoading = 4
+	notice     = 30 * time.Second
+	planEvery  = time.Second
+)
+
+// restore loses a failure domain and returns the times until the wanted
+// survivors and the whole target serve. Refused holds options that the cloud
+// refuses to start.
+func restore(r place.Request, lost string, refused func(place.Option) bool) (whole time.Duration, least int) {
+	target := place.Choose(r)
+	instances := map[string]*simulated{}
+	for _, g := range target.Groups {
+		for range g.Count {
+			add(instances, g.Option, 0).serves = 1
+		}
+	}
+	backoff := place.NewBackoff()
+	start := clock.Instant(time.Hour)
+	backoff.Wave(lost, start)
+	least = len(instances)
+	for now := start; ; now = now.Add(planEvery) {
+		elapsed := now.Sub(start)
+		serving := step(instances, now, elapsed, lost)
+		least = min(least, serving)
+		if elapsed > notice && serving >= target.Total() {
+			return elapsed, least
+		}
+		if elapsed > time.Hour {
+			return elapsed, least
+		}
+		list := listed(instances)
+		r.Held = place.Held(list, "", "")
+		r.Refused = backoff.Refused(place.Options(r.Pool, r.Prices), now)
+		next := place.Choose(r)
+		for _, o := range place.Next(&next, list).Starts {
+			if refused(o) {
+				backoff.Refuse(o, now)
+				continue
+			}
+			add(instances, o, now)
+		}
+	}
+}
+
+// simulated is an instance of the simulation.
+type simulated struct {
+	fleet.Instance
+	started clock.Instant
+	// loaded is when its weights are there; serves is set then.
+	loaded clock.Instant
+	serves int
+	leaves bool
+}
+
+func add(instances map[string]*simulated, o place.Option, now clock.Instant) *simulated {
+	id := fmt.Sprintf("i-%d", len(instances))
+	instances[id] = &simulated{started: now, Instance: fleet.Instance{
+		ID: id, FailureDomain: o.FailureDomain, MachineClass: o.MachineClass, Reclaimable: o.Reclaimable, State: fleet.Live,
+	}}
+	return instances[id]
+}
+
+func listed(instances map[string]*simulated) []fleet.Instance {
+	var list []fleet.Instance
+	for _, s := range instances {
+		i := s.Instance
+		if s.serves == 0 {
+			i.State = fleet.Starting
+		}
+		list = append(list, i)
+	}
+	return list
+}
+
+// step moves the simulation on and counts the instances that serve. The first
+// instances have been started at zero.
+func step(instances map[string]*simulated, now clock.Instant, elapsed time.Duration, lost string) int {
+	serving, loading := 0, 0
+	for _, s := range instances {
+		if s.Reclaimable && s.FailureDomain == lost && s.started == 0 {
+			s.State = fleet.Leaving
+			s.leaves = elapsed >= notice
+		}
+		if s.loaded > 0 && s.serves == 0 {
+			if now.Before(s.loaded) {
+				loading++
+			} else {
+				s.serves = 1
+			}
+		}
+	}
+	for _, s := range instances {
+		if s.serves == 0 && s.loaded == 0 && now.Sub(s.started) >= bootTime && loading < maxLoading {
+			s.loaded = now.Add(loadTime)
+			loading++
+		}
+		if s.serves == 1 && !s.leaves {
+			serving++
+		}
+	}
+	return serving
+}
+
+var _ = Describe("Figures", func() {
+	never := func(place.Option) bool { return false }
+	for _, member := range []string{"noranbus", "cooperative"} {
+		It("cost and time to restore of "+member, func() {
+			d := example(member)
+			for i := range d.Pools {
+				pool := &d.Pools[i]
+				r := place.Request{Pool: pool, Prices: pricesOf(pool)}
+				mixed := place.Choose(r)
+				Expect(mixed.Survivors).To(BeNumerically(">=", mixed.SurvivorsWanted))
+				fixed := *pool
+				fixed.ReclaimableShare = 0
+				dear := place.Choose(place.Request{Pool: &fixed, Prices: r.Prices})
+				bare := withoutSpread(r)
+				lost := largest(&mixed, pool)
+				whole, least := restore(r, lost, never)
+				full, _ := restore(r, lost, func(o place.Option) bool { return o.FailureDomain == lost })
+				fmt.Fprintf(GinkgoWriter, "%s/%s: replicas %d, cost an hour %d micros (left %d of %d), on-demand only %d (left %d), reclaimable without spread %d (left 0); reclaim of %s: least serving %d, whole again after %v, after %v when that domain refuses starts\n",
+					member, pool.Name, mixed.Total(), mixed.MicrosPerHour(), mixed.Survivors, mixed.Total(),
+					dear.MicrosPerHour(), dear.Survivors, bare.MicrosPerHour(), lost, least, whole, full)
+				Expect(mixed.MicrosPerHour()).To(BeNumerically("<", dear.MicrosPerHour()))
+			}
+		})
+	}
+})
+
+// largest returns the failure domain with the most reclaimable instances.
+func largest(t *place.Target, pool *intent.Pool) string {
+	best, most := "", 0
+	for _, domain := range pool.FailureDomains {
+		count := 0
+		for _, g := range t.Groups {
+			if g.FailureDomain == domain && g.Reclaimable {
+				count += g.Count
+			}
+		}
+		if count > most {
+			best, most = domain, count
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/serving/reclaim/view_test.go
@@ -0,0 +1,79 @@
+package reclaim_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
+	"github.com/sycamorecourse/sycamorecourse/serving/reclaim"
+)
+
+func TestReclaim(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "reclaim")
+}
+
+const start = clock.Instant(time.Hour)
+
+var _ = Describe("View", func() {
+	soon := time.Unix(1000, 0)
+	live := fleet.Instance{ID: "i-1", State: fleet.Live}
+
+	It("takes a notice before or after the list, and each once", func() {
+		early := reclaim.NewView()
+		Expect(early.Notify(reclaim.Notice{Instance: "i-1", Ends: soon}, start)).To(BeTrue())
+		early.List([]fleet.Instance{live}, start)
+		late := reclaim.NewView()
+		late.List([]fleet.Instance{live}, start)
+		Expect(late.Notify(reclaim.Notice{Instance: "i-1", Ends: soon}, start)).To(BeTrue())
+		Expect(late.Notify(reclaim.Notice{Instance: "i-1", Ends: soon}, start)).To(BeFalse())
+		Expect(early.Instances()).To(Equal(late.Instances()))
+		Expect(early.Instances()).To(ConsistOf(And(HaveField("State", fleet.Leaving), HaveField("Ends", soon))))
+	})
+
+	It("keeps a started instance that the list does not show yet, and drops it in the end", func() {
+		v := reclaim.NewView()
+		v.Start(fleet.Instance{ID: "i-1", State: fleet.Starting}, start)
+		v.List(nil, start.Add(time.Minute))
+		Expect(v.Instances()).To(HaveLen(1))
+		v.List(nil, start.Add(10*time.Minute))
+		Expect(v.Instances()).To(BeEmpty())
+	})
+
+	It("never takes a state back, whatever the lagging list shows", func() {
+		states := []fleet.State{fleet.Starting, fleet.Live, fleet.Leaving}
+		rank := map[fleet.State]int{fleet.Starting: 0, fleet.Live: 1, fleet.Leaving: 2}
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			v := reclaim.NewView()
+			last := 0
+			for range 30 {
+				if rapid.IntRange(0, 4).Draw(t, "notice") == 0 {
+					v.Notify(reclaim.Notice{Instance: "i-1"}, start)
+				} else {
+					v.List([]fleet.Instance{{ID: "i-1", State: rapid.SampledFrom(states).Draw(t, "state")}}, start)
+				}
+				if i, ok := v.Find("i-1"); ok {
+					if rank[i.State] < last {
+						t.Fatalf("%s after rank %d", i.State, last)
+					}
+					last = rank[i.State]
+				}
+			}
+		})
+	})
+})
+
+var _ = Describe("Waves", func() {
+	It("tells a wave from single reclaims", func() {
+		w := reclaim.NewWaves()
+		Expect(w.Notify("seoul-a", 4, start)).To(BeFalse())
+		Expect(w.Notify("seoul-a", 4, start.Add(2*time.Minute))).To(BeFalse())
+		Expect(w.Notify("seoul-b", 4, start.Add(2*time.Minute))).To(BeFalse())
+		Expect(w.Notify("seoul-a", 4, start.Add(2*time.Minute+time.Second))).To(BeTrue())
+	})
+})
