quota: slices of a shared limit, spent only while held

Cause: spending must stay inside what was agreed, over all processes, dead and paused ones included, without a write for each spending. Change: one ledger row for each limit; grants expire as leases do; a holder stops spending before it lowers its grant and spends more only after the raise is known; weighted max-min shares; the total follows the newest configuration.

--- /dev/null
+++ b/coord/quota/ledger.go
@@ -0,0 +1,84 @@
+package quota
+
+import (
+	"slices"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/internal/codec"
+	"github.com/sycamorecourse/sycamorecourse/coord/lease"
+	"github.com/sycamorecourse/sycamorecourse/coord/row"
+)
+
+const partition = "quota"
+
+// Key returns the key of the row of a limit.
+func Key(limit string) row.Key {
+	return row.Key{Partition: partition, Sort: limit}
+}
+
+// Ledger is the value of the row of a limit.
+type Ledger struct {
+	// Total is the limit.
+	Total uint64 `cbor:"1,keyasint"`
+	// Configuration is the version of the configuration that set Total.
+	Configuration uint64 `cbor:"2,keyasint"`
+	// Sequence counts the writes of the ledger.
+	Sequence uint64 `cbor:"3,keyasint"`
+	// Grants are the slices, expired ones included until somebody drops them.
+	Grants []Grant `cbor:"4,keyasint"`
+}
+
+// DecodeLedger reads a ledger from its row, present or absent.
+func DecodeLedger(r row.Row) (Ledger, error) {
+	var ledger Ledger
+	if r.Version == 0 {
+		return ledger, nil
+	}
+	err := codec.Decode(r.Value, &ledger)
+	return ledger, err
+}
+
+// Granted returns the sum of the grants. It can exceed Total only after Total
+// was lowered, and then only falls.
+func (l Ledger) Granted() uint64 {
+	sum := uint64(0)
+	for _, g := range l.Grants {
+		sum += g.Amount
+	}
+	return sum
+}
+
+// Grant returns the grant of a holder and reports whether there is one.
+func (l Ledger) Grant(holder lease.Holder) (Grant, bool) {
+	i := slices.IndexFunc(l.Grants, func(g Grant) bool { return g.Holder == holder })
+	if i < 0 {
+		return Grant{}, false
+	}
+	return l.Grants[i], true
+}
+
+// without returns the ledger without the grants of the given holders.
+func (l Ledger) without(drop func(lease.Holder) bool) Ledger {
+	l.Grants = slices.DeleteFunc(slices.Clone(l.Grants), func(g Grant) bool {
+		return drop(g.Holder)
+	})
+	return l
+}
+
+// fairShare returns the part of a demand beside the grants in the ledger, which
+// must not hold one of the same holder.
+func (l Ledger) fairShare(own Demand) uint64 {
+	demands := []Demand{own}
+	for _, g := range l.Grants {
+		demands = append(demands, g.Demand)
+	}
+	return Share(l.Total, demands)[0]
+}
+
+// free returns what is not granted.
+func (l Ledger) free() uint64 {
+	granted := l.Granted()
+	if granted >= l.Total {
+		return 0
+	}
+	return l.Total - granted
+}
