Move requests off a leaving upstream with their KV cache

Cause: a non-idempotent request on a reclaimed engine was cut, since it may not be run again elsewhere. Change: the run is stopped by an export of its KV cache and goes on at another engine with the same record; an idempotent request falls back to computing again, and what is recomputed is counted. After: the reclaim of the only engine in use gives a whole answer, 2 attempts, 0 recomputed tokens.

--- a/daemon/gateway/dispatcher.go
+++ b/daemon/gateway/dispatcher.go
@@ -7,7 +7,6 @@
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
-	"github.com/sycamorecourse/sycamorecourse/coord/row"
 	"github.com/sycamorecourse/sycamorecourse/daemon/report"
 	"github.com/sycamorecourse/sycamorecourse/edge/engine"
 	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
@@ -77,6 +76,12 @@
 		d.piece(m.ref, m.rest, now)
 		delete(d.calls, m.ref)
 		d.core.Failed(m.ref, m.failure, now)
+	case exported:
+		d.core.Exported(m.ref, m.cache, now)
+	case imported:
+		d.core.Imported(m.ref, m.handle, now)
+	case kvFailed:
+		d.kvFailed(m, now)
 	case written:
 		d.core.Written(m.id, m.serial, m.err, now)
 	case readResult:
@@ -191,6 +196,10 @@
 		d.start(a.Ref, call, now)
 	case dispatch.Abort:
 		d.abort(&a)
+	case dispatch.Export:
+		d.export(&a, now)
+	case dispatch.Import:
+		d.importCache(&a, now)
 	case dispatch.WriteRows:
 		d.write(&a, now)
 	case dispatch.ReadRow:
@@ -235,28 +244,6 @@
 	_ = d.upstream.Start(engine.NewCancelCall(a, cancelTimeout))
 }
 
-func (d *dispatcher) write(a *dispatch.WriteRows, now clock.Instant) {
-	if err := d.inbox.Reserve(); err != nil {
-		d.core.Written(a.ID, a.Serial, &row.UnavailableError{Err: err}, now)
-		return
-	}
-	id, serial, inbox := a.ID, a.Serial, d.inbox
-	d.table.Write(a.Transaction, func(err error) {
-		_ = inbox.OfferReserved(written{id: id, serial: serial, err: err})
-	})
-}
-
-func (d *dispatcher) read(a *dispatch.ReadRow, now clock.Instant) {
-	id, serial, inbox := a.ID, a.Serial, d.inbox
-	if err := inbox.Reserve(); err != nil {
-		d.core.ReadResult(id, serial, row.Row{}, &row.UnavailableError{Err: err}, now)
-		return
-	}
-	d.table.Read(a.Key, func(found row.Row, err error) {
-		_ = inbox.OfferReserved(readResult{id: id, serial: serial, found: found, err: err})
-	})
-}
-
 func (d *dispatcher) note(a *dispatch.Note) {
 	d.metrics.note(a.Event)
 	d.log.Info().Str("customer", a.ID.Customer).Str("key", a.ID.Key).Str("upstream", a.Upstream).
--- /dev/null
+++ b/daemon/gateway/exported.go
@@ -0,0 +1,11 @@
+package gateway
+
+import "github.com/sycamorecourse/sycamorecourse/serving/dispatch"
+
+// exported is the KV cache of an attempt that was stopped.
+type exported struct {
+	ref   dispatch.Ref
+	cache []byte
+}
+
+func (exported) isDispatchMessage() {}
--- a/proof/path/path_test.go
+++ b/proof/path/path_test.go
@@ -11,8 +11,10 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/thread"
+	"github.com/sycamorecourse/sycamorecourse/daemon/gateway"
 	"github.com/sycamorecourse/sycamorecourse/edge/client"
 	"github.com/sycamorecourse/sycamorecourse/proof/bed"
+	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
 	"github.com/sycamorecourse/sycamorecourse/standin/engine"
 	"github.com/sycamorecourse/sycamorecourse/standin/host"
 )
@@ -126,3 +128,30 @@
 		Expect(answer.Tokens).To(Equal(20))
 	})
 })
+
+var _ = Describe("A gateway, when an upstream is reclaimed", func() {
+	It("moves requests with their KV cache and recomputes nothing, also non-idempotent ones", func() {
+		b, err := bed.Open(bed.Config{Engines: 2, Gateways: 1, Engine: engine.Config{TokenTime: 10 * time.Millisecond}})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(b.Close)
+		engines := b.Instances()[1:]
+		Expect(b.Apply(gateway.Update{Removed: []string{engines[1].ID}})).To(Succeed())
+		c := client.New(client.Config{Seeds: b.Seeds(), Credential: bed.Credential, Seed: 1})
+		Expect(c.Open()).To(Succeed())
+		DeferCleanup(c.Close)
+		r := client.Request{Key: "booking", Model: bed.ModelName, Prompt: "confirm the pickup", MaxTokens: 100, Deadline: 20 * time.Second}
+		answer, err := c.Submit(r, func(p client.Piece) {
+			if p.Index != 5 {
+				return
+			}
+			leaving := engines[0]
+			leaving.State = fleet.Leaving
+			leaving.Ends = time.Now().Add(700 * time.Millisecond)
+			Expect(b.Apply(gateway.Update{Upserts: []fleet.Instance{engines[1], leaving}})).To(Succeed())
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Text).To(Equal(engine.Answer(bed.ModelName, "", r.Prompt, 100)))
+		Expect(answer.Attempts).To(Equal(2))
+		Expect(answer.RecomputedTokens).To(BeZero())
+	})
+})
--- a/serving/dispatch/action.go
+++ b/serving/dispatch/action.go
@@ -1,8 +1,8 @@
 package dispatch
 
 // Action is something that the owner of a Core has to do: Accept, Attach,
-// Refuse, Deliver, Finish, Forget, Send, Reattach, Abort, WriteRows, ReadRow or
-// Note.
+// Refuse, ConfirmCancel, Deliver, Finish, Forget, Send, Reattach, Abort, Export,
+// Import, WriteRows, ReadRow or Note.
 type Action interface {
 	isAction()
 }
--- a/serving/dispatch/config.go
+++ b/serving/dispatch/config.go
@@ -29,6 +29,9 @@
 	// LeaveMargin is how long before the end of its instance a request is moved
 	// away. Default 500 ms.
 	LeaveMargin time.Duration
+	// WithoutExport moves requests by computing them again and never with their
+	// KV cache.
+	WithoutExport bool
 	// MaxInlineBytes bounds the answers that are kept in the record of a
 	// non-idempotent request. Default 8 KiB.
 	MaxInlineBytes int
--- a/serving/dispatch/core_attempt.go
+++ b/serving/dispatch/core_attempt.go
@@ -5,7 +5,6 @@
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/admit"
-	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
 	"github.com/sycamorecourse/sycamorecourse/serving/request"
 	"github.com/sycamorecourse/sycamorecourse/serving/route"
 )
@@ -67,6 +66,11 @@
 	if e == nil {
 		return
 	}
+	if e.isExporting {
+		// The export stops the stream; its result says how to go on.
+		e.isStreamLost = true
+		return
+	}
 	c.note(AttemptFailed, e, failure.Detail)
 	if c.reattach(e, failure.Kind) {
 		return
@@ -119,16 +123,20 @@
 	e.started = true
 	e.firstSeen = false
 	e.reattached = false
+	e.isStreamLost = false
 	e.attempt++
-	if e.request.Idempotent {
+	switch {
+	case e.cache != nil:
+		c.startWithCache(e, now)
+	case e.request.Idempotent:
 		c.accept(e)
-		c.send(e, 0, now)
-		return
+		c.send(e, "", 0, now)
+	default:
+		c.claimAttempt(e, now)
 	}
-	c.claimAttempt(e, now)
 }
 
-func (c *Core) send(e *entry, notAfter clock.Instant, now clock.Instant) {
+func (c *Core) send(e *entry, kvHandle string, notAfter, now clock.Instant) {
 	e.phase = phaseRunning
 	e.sentAt = now
 	e.lastToken = now
@@ -142,6 +150,7 @@
 		Request:      &e.request,
 		ResumeTokens: e.log.Tokens(),
 		ResumeText:   e.log.Text(),
+		KVHandle:     kvHandle,
 		NotAfter:     notAfter,
 		Deadline:     e.deadline,
 	})
@@ -185,6 +194,10 @@
 func (c *Core) retry(e *entry, now clock.Instant) {
 	e.tried = append(e.tried, e.choice.ID)
 	if e.attempt >= c.cfg.MaxAttempts || !now.Before(e.deadline) {
+		if e.isContinued() {
+			c.endExported(e, now)
+			return
+		}
 		c.endFailed(e, now)
 		return
 	}
@@ -341,9 +354,3 @@
 		return route.Broken
 	}
 }
-
-// recompute estimates the tokens that an upstream computes again when it goes
-// on with an answer that another began.
-func recompute(e *entry) int {
-	return prefix.Tokens(e.request.Prompt) + e.log.Tokens()
-}
--- a/serving/dispatch/core_claim.go
+++ b/serving/dispatch/core_claim.go
@@ -30,7 +30,7 @@
 	if e == nil {
 		return false
 	}
-	if e.claim == nil {
+	if e.claim == nil || e.isContinued() {
 		return true
 	}
 	if err := e.claim.MaySend(now); err != nil {
@@ -97,7 +97,7 @@
 		return
 	}
 	c.accept(e)
-	c.send(e, s.Until, now)
+	c.send(e, "", s.Until, now)
 }
 
 func (c *Core) claimRefusedHere(e *entry, s attempt.Refuse, now clock.Instant) {
--- a/serving/dispatch/counts.go
+++ b/serving/dispatch/counts.go
@@ -22,6 +22,10 @@
 	Retries uint64 `json:"retries"`
 	// Moved is the number of attempts moved off a leaving upstream.
 	Moved uint64 `json:"moved"`
+	// Exported is the number of attempts moved with their KV cache.
+	Exported uint64 `json:"exported"`
+	// Imported is the number of attempts that went on with their KV cache.
+	Imported uint64 `json:"imported"`
 	// Reattached is the number of streams taken up again.
 	Reattached uint64 `json:"reattached"`
 	// Tokens is the number of tokens given to callers.
--- a/serving/dispatch/entry.go
+++ b/serving/dispatch/entry.go
@@ -39,6 +39,11 @@
 	mayHaveRun bool // an attempt was sent and not refused by its upstream
 	reattached bool // since the last token
 
+	isExporting  bool
+	isStreamLost bool // the stream ended while it was being exported
+	isImporting  bool
+	cache        []byte // KV cache of a moved request, until it is imported
+
 	log        answer.Log
 	forwarded  int
 	recomputed int
