--- /dev/null
+++ b/ctl/command/keys.go
@@ -0,0 +1,67 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/sycamorecourse/sycamorecourse/edge/keys"
+	"github.com/sycamorecourse/sycamorecourse/edge/settings"
+)
+
+const (
+	defaultValidity = 30 * 24 * time.Hour
+	minValidity     = time.Hour
+	maxValidity     = 10 * 365 * 24 * time.Hour
+)
+
+// Keys writes a certificate authority and the certificates of both processes
+// of each entry instance. The zero value works.
+type Keys struct {
+	set       *settings.Set
+	directory string
+	instances []string
+	valid     time.Duration
+}
+
+// Name implements subcommands.Command.
+func (*Keys) Name() string { return "keys" }
+
+// Synopsis implements subcommands.Command.
+func (*Keys) Synopsis() string { return "write certificates for a first try" }
+
+// Usage implements subcommands.Command.
+func (*Keys) Usage() string {
+	return "keys --dir DIRECTORY --names INSTANCE,INSTANCE:\n" +
+		"  Write a certificate authority, and for each instance the certificates\n" +
+		"  of its gateway and its controller. No file is replaced.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (k *Keys) SetFlags(flags *flag.FlagSet) {
+	k.set = settings.New(flags)
+	k.set.Text(&k.directory, "dir", "", "directory to write to", true)
+	k.set.List(&k.instances, "names", "", "names of the entry instances")
+	k.set.Duration(&k.valid, "valid", defaultValidity, "how long the certificates are valid", minValidity, maxValidity)
+}
+
+// Execute implements subcommands.Command.
+func (k *Keys) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if err := k.set.Load(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	var names []keys.Name
+	for _, instance := range k.instances {
+		names = append(names, keys.Name{Role: "gateway", Instance: instance}, keys.Name{Role: "controller", Instance: instance})
+	}
+	if err := keys.WriteAll(k.directory, names, k.valid); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- a/ctl/command/register.go
+++ b/ctl/command/register.go
@@ -11,5 +11,6 @@
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(commander.CommandsCommand(), "")
+	commander.Register(&Keys{}, "")
 	commander.Register(&Version{}, "")
 }
--- /dev/null
+++ b/edge/keys/authority.go
@@ -0,0 +1,98 @@
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"net/url"
+	"time"
+)
+
+const (
+	// authorityName is the common name of the certificate authority.
+	authorityName = "sycamorecourse"
+	// backdate allows for wall clocks that are behind.
+	backdate = time.Hour
+	// serialBits is the length of a random serial number.
+	serialBits = 120
+)
+
+// Authority is a certificate authority that signs with ECDSA on P-256.
+type Authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	pair        *Pair
+}
+
+// NewAuthority makes a certificate authority that is valid for the given time.
+func NewAuthority(valid time.Duration) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, &IssueError{Subject: authorityName, Err: err}
+	}
+	template, err := newTemplate(authorityName, valid)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.MaxPathLenZero = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, &IssueError{Subject: authorityName, Err: err}
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, &IssueError{Subject: authorityName, Err: err}
+	}
+	pair, err := newPair(authorityName, der, key)
+	if err != nil {
+		return nil, err
+	}
+	return &Authority{certificate: certificate, key: key, pair: pair}, nil
+}
+
+// Pair returns the authority's own certificate and key.
+func (a *Authority) Pair() *Pair {
+	return a.pair
+}
+
+// Issue makes a certificate for a process, both for dialling and for
+// listening.
+func (a *Authority) Issue(name Name, valid time.Duration) (*Pair, error) {
+	subject := name.String()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, &IssueError{Subject: subject, Err: err}
+	}
+	template, err := newTemplate(subject, valid)
+	if err != nil {
+		return nil, err
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
+	template.URIs = []*url.URL{name.uri()}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		return nil, &IssueError{Subject: subject, Err: err}
+	}
+	return newPair(subject, der, key)
+}
+
+func newTemplate(subject string, valid time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, &IssueError{Subject: subject, Err: err}
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: subject},
+		NotBefore:    now.Add(-backdate),
+		NotAfter:     now.Add(valid),
+	}, nil
+}
--- /dev/null
+++ b/edge/keys/issue_error.go
@@ -0,0 +1,17 @@
+package keys
+
+// IssueError reports that a key or certificate could not be made.
+type IssueError struct {
+	// Subject is who the certificate was meant for.
+	Subject string
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *IssueError) Error() string {
+	return "issue a certificate for " + e.Subject + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *IssueError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/edge/keys/name.go
@@ -0,0 +1,39 @@
+package keys
+
+import (
+	"crypto/x509"
+	"net/url"
+	"strings"
+)
+
+// scheme is the scheme of the URI that names a process in its certificate.
+const scheme = "sycamore"
+
+// Name names a process: its role and its entry instance.
+type Name struct {
+	// Role is gateway or controller.
+	Role string
+	// Instance names the entry instance.
+	Instance string
+}
+
+// NameOf returns the name that a certificate carries. It fails with a
+// *NameError when it carries none.
+func NameOf(certificate *x509.Certificate) (Name, error) {
+	for _, uri := range certificate.URIs {
+		instance := strings.TrimPrefix(uri.Path, "/")
+		if uri.Scheme == scheme && uri.Host != "" && instance != "" {
+			return Name{Role: uri.Host, Instance: instance}, nil
+		}
+	}
+	return Name{}, &NameError{Subject: certificate.Subject.CommonName}
+}
+
+// String implements fmt.Stringer: ROLE/INSTANCE.
+func (n Name) String() string {
+	return n.Role + "/" + n.Instance
+}
+
+func (n Name) uri() *url.URL {
+	return &url.URL{Scheme: scheme, Host: n.Role, Path: "/" + n.Instance}
+}
