controller: buy instances only from held slices of the agreed amounts

Cause: the limits came from the holder's own configuration, which may be old. Change: the fleet duty holds coord/quota slices of the total and of each member's budget; one runner carries out the steps of the lease and of the slices.

--- a/daemon/controller/fleet.go
+++ b/daemon/controller/fleet.go
@@ -46,7 +46,8 @@
 	settings *Settings
 	counters *counters
 	calls    *calls
-	lease    *leaseKeeper
+	lease    *heldLease
+	budgets  *budgets
 
 	configuration *intent.Configuration
 	view          *reclaim.View
@@ -97,7 +98,10 @@
 	f.calls = &calls{inbox: f.inbox}
 	// The slot of the stop; a new ring has room.
 	_ = f.inbox.Reserve()
-	f.lease = newLeaseKeeper(fleetLease, holder, table, clk, f.calls)
+	run := func(m stepMachine) *stepRunner { return newStepRunner(m, table, clk, f.calls) }
+	candidate := lease.New(fleetLease, lease.DefaultConfig(), holder)
+	f.lease = &heldLease{stepRunner: run(candidate), lease: candidate}
+	f.budgets = newBudgets(holder, run)
 	return f
 }
 
@@ -150,11 +154,13 @@
 	f.stopping = true
 	f.stopBy = f.clock.Now().Add(releaseTimeout)
 	f.lease.release()
+	f.budgets.giveBack()
 	f.wake()
 }
 
 func (f *fleetDuty) isStopped() bool {
-	return f.stopping && (f.lease.ended || !f.clock.Now().Before(f.stopBy))
+	isReleased := f.lease.ended && len(f.budgets.slices) == 0
+	return f.stopping && (isReleased || !f.clock.Now().Before(f.stopBy))
 }
 
 // tick takes all steps that are due.
@@ -162,6 +168,7 @@
 	f.nextTick = f.clock.Now().Add(f.settings.FleetInterval)
 	f.lease.step()
 	if f.stopping {
+		f.budgets.giveBack()
 		return
 	}
 	f.readList()
@@ -175,6 +182,7 @@
 func (f *fleetDuty) manage() {
 	g := f.lease.grant()
 	if !g.isValid(f.clock.Now()) {
+		f.budgets.giveBack()
 		return
 	}
 	if f.ledgersOf != g.fence {
@@ -184,6 +192,7 @@
 	if !f.listed || len(f.prices) == 0 || f.configuration.Version == 0 {
 		return
 	}
+	f.budgets.hold(f.configuration, f.spent(nil, nil))
 	wanted := f.pools()
 	for key := range wanted {
 		if f.keepers[key] == nil {
@@ -397,29 +406,27 @@
 	return list
 }
 
-// mayBuy reports whether an instance of a price fits into what was agreed for
-// the member and for all, beside the draft of its pool and all other ledgers.
+// mayBuy reports whether an instance of a price fits into the slices that are
+// held, beside the draft of its pool and all other ledgers.
 func (f *fleetDuty) mayBuy(buyer *poolKeeper, draft *place.Ledger, micros int64) bool {
-	member, total := micros, micros
-	for _, k := range f.keepers {
-		cost := k.cost()
-		if k == buyer {
-			cost = max(cost, draft.MicrosPerHour())
-		}
-		total += cost
-		if k.member == buyer.member {
-			member += cost
-		}
+	err := f.budgets.mayBuy(buyer.member, micros, f.spent(buyer, draft))
+	if err != nil {
+		f.log.Debug().Str("pool", buyer.pool).Str("cause", err.Error()).Msg("start_not_affordable")
 	}
-	slice := f.sliceOf(buyer.member)
-	return intent.Micros(member) <= slice && intent.Micros(total) <= f.configuration.TotalMicrosPerHour
+	return err == nil
 }
 
-func (f *fleetDuty) sliceOf(member string) intent.Micros {
-	for _, d := range f.configuration.Documents {
-		if d.Member == member {
-			return d.Budget.MicrosPerHour
+// spent adds up what is paid for, by the names of the limits. The draft, if not
+// nil, stands for the ledger of its pool if it is dearer.
+func (f *fleetDuty) spent(drafter *poolKeeper, draft *place.Ledger) map[string]uint64 {
+	spent := make(map[string]uint64)
+	for _, k := range f.keepers {
+		cost := k.cost()
+		if k == drafter {
+			cost = max(cost, draft.MicrosPerHour())
 		}
+		spent[totalBudget] += uint64(cost)
+		spent[memberBudgetPrefix+k.member] += uint64(cost)
 	}
-	return 0
+	return spent
 }
