--- a/daemon/controller/fleet.go
+++ b/daemon/controller/fleet.go
@@ -301,7 +301,7 @@
 		return
 	}
 	f.listed = true
-	f.view.List(list, f.clock.Now())
+	f.view.List(list, f.clock.Now(), f.now())
 }
 
 func (f *fleetDuty) readPrices() {
@@ -367,8 +367,8 @@
 		n.FailureDomain = i.FailureDomain
 	}
 	f.log.Warn().Str("instance", n.Instance).Str("failure_domain", n.FailureDomain).Time("ends", n.Ends).Msg("reclaim_notice")
-	if f.waves.Notify(n.FailureDomain, f.reclaimableIn(n.FailureDomain), now) {
-		f.backoff.Wave(n.FailureDomain, now)
+	isWave := f.waves.Notify(n.FailureDomain, f.reclaimableIn(n.FailureDomain), now)
+	if isWave && f.backoff.Wave(n.FailureDomain, now) {
 		f.log.Warn().Str("failure_domain", n.FailureDomain).Msg("reclaim_wave")
 	}
 }
--- a/serving/place/backoff.go
+++ b/serving/place/backoff.go
@@ -45,9 +45,12 @@
 	delete(b.options, o)
 }
 
-// Wave notes a wave of reclaims in a failure domain.
-func (b *Backoff) Wave(domain string, now clock.Instant) {
+// Wave notes a wave of reclaims in a failure domain. It returns false if one
+// was going on already.
+func (b *Backoff) Wave(domain string, now clock.Instant) bool {
+	isNew := !now.Before(b.waves[domain])
 	b.waves[domain] = now.Add(waveBackoff)
+	return isNew
 }
 
 // Refused returns which of the options can't be started now.
--- a/serving/reclaim/entry.go
+++ b/serving/reclaim/entry.go
@@ -33,6 +33,11 @@
 	e.instance.Ends = earliest(e.instance.Ends, ends)
 }
 
+// hasEnded reports whether a notice named an end that has passed.
+func (e *entry) hasEnded(wall time.Time) bool {
+	return e.instance.State == fleet.Leaving && !e.instance.Ends.IsZero() && wall.After(e.instance.Ends)
+}
+
 // earliest returns the earlier of two times, of which zero means unknown.
 func earliest(a, b time.Time) time.Time {
 	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
--- a/serving/reclaim/view.go
+++ b/serving/reclaim/view.go
@@ -32,8 +32,9 @@
 	return &View{entries: make(map[string]*entry), notices: make(map[string]*noted)}
 }
 
-// List takes the list of instances as it was read.
-func (v *View) List(list []fleet.Instance, now clock.Instant) {
+// List takes the list of instances as it was read. The wall clock is compared
+// with the ends that notices name.
+func (v *View) List(list []fleet.Instance, now clock.Instant, wall time.Time) {
 	listed := make(map[string]bool, len(list))
 	for _, i := range list {
 		listed[i.ID] = true
@@ -41,7 +42,7 @@
 	}
 	for id, e := range v.entries {
 		if !listed[id] {
-			v.missing(id, e, now)
+			v.missing(id, e, now, wall)
 		}
 	}
 	for id, n := range v.notices {
@@ -119,14 +120,17 @@
 	e.update(i)
 }
 
-// missing takes note that the list lacks an instance.
-func (v *View) missing(id string, e *entry, now clock.Instant) {
+// missing takes note that the list lacks an instance. One whose announced end
+// has passed is gone; others may not be listed yet.
+func (v *View) missing(id string, e *entry, now clock.Instant, wall time.Time) {
 	limit := listLag
-	if e.instance.State == fleet.Starting {
+	switch {
+	case e.hasEnded(wall):
+		limit = 0
+	case e.instance.State == fleet.Starting:
 		limit = startLimit
 	}
-	if now.Sub(e.seen) <= limit {
-		return
+	if now.Sub(e.seen) > limit {
+		delete(v.entries, id)
 	}
-	delete(v.entries, id)
 }
--- a/serving/reclaim/view_test.go
+++ b/serving/reclaim/view_test.go
@@ -27,9 +27,9 @@
 	It("takes a notice before or after the list, and each once", func() {
 		early := reclaim.NewView()
 		Expect(early.Notify(reclaim.Notice{Instance: "i-1", Ends: soon}, start)).To(BeTrue())
-		early.List([]fleet.Instance{live}, start)
+		early.List([]fleet.Instance{live}, start, soon)
 		late := reclaim.NewView()
-		late.List([]fleet.Instance{live}, start)
+		late.List([]fleet.Instance{live}, start, soon)
 		Expect(late.Notify(reclaim.Notice{Instance: "i-1", Ends: soon}, start)).To(BeTrue())
 		Expect(late.Notify(reclaim.Notice{Instance: "i-1", Ends: soon}, start)).To(BeFalse())
 		Expect(early.Instances()).To(Equal(late.Instances()))
@@ -39,9 +39,19 @@
 	It("keeps a started instance that the list does not show yet, and drops it in the end", func() {
 		v := reclaim.NewView()
 		v.Start(fleet.Instance{ID: "i-1", State: fleet.Starting}, start)
-		v.List(nil, start.Add(time.Minute))
+		v.List(nil, start.Add(time.Minute), soon)
 		Expect(v.Instances()).To(HaveLen(1))
-		v.List(nil, start.Add(10*time.Minute))
+		v.List(nil, start.Add(10*time.Minute), soon)
+		Expect(v.Instances()).To(BeEmpty())
+	})
+
+	It("drops an instance as soon as its announced end has passed and the list lacks it", func() {
+		v := reclaim.NewView()
+		v.List([]fleet.Instance{live}, start, soon.Add(-time.Minute))
+		v.Notify(reclaim.Notice{Instance: "i-1", Ends: soon}, start)
+		v.List(nil, start.Add(time.Second), soon.Add(-time.Second))
+		Expect(v.Instances()).To(HaveLen(1))
+		v.List(nil, start.Add(3*time.Second), soon.Add(time.Second))
 		Expect(v.Instances()).To(BeEmpty())
 	})
 
@@ -55,7 +65,7 @@
 				if rapid.IntRange(0, 4).Draw(t, "notice") == 0 {
 					v.Notify(reclaim.Notice{Instance: "i-1"}, start)
 				} else {
-					v.List([]fleet.Instance{{ID: "i-1", State: rapid.SampledFrom(states).Draw(t, "state")}}, start)
+					v.List([]fleet.Instance{{ID: "i-1", State: rapid.SampledFrom(states).Draw(t, "state")}}, start, soon)
 				}
 				if i, ok := v.Find("i-1"); ok {
 					if rank[i.State] < last {
