--- a/daemon/controller/fleet_test.go
+++ b/daemon/controller/fleet_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -152,6 +153,35 @@
 		Expect(w.live()).To(BeZero())
 	})
 
+	It("figures: rows read and written in a quiet minute", func() {
+		w := newWorld()
+		holder, standby := w.start(), w.start()
+		w.settle(holder)
+		count := func(f *fleetDuty) (reads, writes float64) {
+			const minutes = 10
+			w.table.reads, w.table.writes = 0, 0
+			for range minutes * 60 {
+				w.clock.Advance(time.Second)
+				tick(f)
+			}
+			return float64(w.table.reads) / minutes, float64(w.table.writes) / minutes
+		}
+		reads, writes := count(holder)
+		fmt.Fprintf(GinkgoWriter, "holder, one member: %.1f rows read and %.1f written a minute\n", reads, writes)
+		// The lease of the holder must not end meanwhile: only reads are counted.
+		tick(holder)
+		w.table.reads = 0
+		for range 60 {
+			w.clock.Advance(time.Second)
+			before := w.table.reads
+			tick(holder)
+			w.table.reads = before
+			tick(standby)
+		}
+		fmt.Fprintf(GinkgoWriter, "standby: %d rows read a minute\n", w.table.reads)
+		Expect(writes).To(BeNumerically("<", 120))
+	})
+
 	It("never buys more than agreed, and loses nothing for good, under faults", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			w := newWorld()
--- a/daemon/controller/memory_table_test.go
+++ b/daemon/controller/memory_table_test.go
@@ -29,6 +29,8 @@
 	faults []fault
 	// faulty says which writes the faults are for; nil: for all.
 	faulty func(row.Transaction) bool
+	// reads and writes count the rows that were read and written.
+	reads, writes int
 }
 
 func newMemoryTable() *memoryTable {
@@ -50,7 +52,10 @@
 
 func (t *memoryTable) Read(key row.Key, done func(row.Row, error)) {
 	var r row.Row
-	t.locked(func() { r = t.rows[key] })
+	t.locked(func() {
+		t.reads++
+		r = t.rows[key]
+	})
 	r.Key = key
 	done(r, nil)
 }
@@ -60,6 +65,7 @@
 	t.locked(func() {
 		for k, r := range t.rows {
 			if k.Partition == partition && strings.HasPrefix(k.Sort, prefix) {
+				t.reads++
 				rows = append(rows, r)
 			}
 		}
@@ -94,6 +100,7 @@
 		case c.Delete:
 			delete(t.rows, c.Key)
 		case !c.Check:
+			t.writes++
 			t.rows[c.Key] = row.Row{Key: c.Key, Version: c.Expect + 1, Value: c.Value}
 		}
 	}
