attempt: a successor does not start again what another one refused

Cause: a claim that was handed to two successors was refused as not run by the first, and the second took the freed key for a new attempt of the same submission and sent it. Change: only a claim of a new submission replaces a record in the state NotRun; a successor gets it as a duplicate.

--- a/coord/attempt/claim.go
+++ b/coord/attempt/claim.go
@@ -223,7 +223,9 @@
 		return c.hold(found.Version, now)
 	case c.isFrom(record):
 		return c.claimAgain(found.Version, c.record.Attempt, now)
-	case record.State == NotRun && !c.record.Sent:
+	case record.State == NotRun && c.former == nil:
+		// A successor must not go on here: another one may have answered the
+		// caller that the request was not run.
 		c.keyChecked = true
 		return c.claimAgain(found.Version, record.Attempt+1, now)
 	default:
--- a/coord/attempt/claim_test.go
+++ b/coord/attempt/claim_test.go
@@ -168,6 +168,18 @@
 		Expect(drive(t, back.Begin(start), back, start)).To(BeAssignableToTypeOf(attempt.Duplicate{}))
 	})
 
+	It("does not run what another successor has refused", func() {
+		held()
+		handoff, _ := a.Release()
+		b = attempt.NewClaimFrom(window, holderB, 9, handoff)
+		Expect(drive(t, b.Begin(start), b, start)).To(BeAssignableToTypeOf(attempt.Send{}))
+		step, err := b.Abandon()
+		Expect(endOf(b, step, err)).To(Equal(attempt.Done{}))
+		late := attempt.NewClaimFrom(window, holderA, 2, handoff)
+		Expect(drive(t, late.Begin(start), late, start)).To(HaveField("Record.State", attempt.NotRun))
+		Expect(late.MaySend(start)).NotTo(Succeed())
+	})
+
 	It("does not call a hand-over of unknown outcome not run", func() {
 		held()
 		handoff, _ := a.Release()
