--- a/proof/bench/machine.go
+++ b/proof/bench/machine.go
@@ -39,5 +39,5 @@
 var serviceMachine = Machine{
 	Class: "plain", MicrosPerHour: 200_000, Reclaimable: true,
 	Slots: 16, StepBase: 25 * time.Millisecond, StepPerRequest: 200 * time.Microsecond,
-	StepTokens: 1, CacheBlocks: 1,
+	StepTokens: 16, CacheBlocks: 1,
 }
--- a/proof/bench/member.go
+++ b/proof/bench/member.go
@@ -66,7 +66,7 @@
 			{Name: "depot-app", Machines: []Machine{serviceMachine, serviceMachine, serviceMachine}},
 		},
 		Classes: []Class{
-			{Name: "sorting", Pool: "drafting-pool", PerSecond: 20, SharedTokens: 640, Groups: 40, OwnTokens: 260, MaxTokens: 120, Target: 1500 * time.Millisecond, Deadline: 15 * time.Second, Priority: 1},
+			{Name: "sorting", Pool: "drafting-pool", PerSecond: 20, SharedTokens: 640, Groups: 40, OwnTokens: 260, MaxTokens: 120, Target: 1500 * time.Millisecond, Deadline: 15 * time.Second, Priority: 2},
 			{Name: "question", Pool: "drafting-pool", PerSecond: 17, SharedTokens: 2048, Groups: 30, OwnTokens: 400, MaxTokens: 80, Target: 1100 * time.Millisecond, Deadline: 10 * time.Second, Priority: 2},
 			{Name: "summary", Pool: "drafting-pool", PerSecond: 11, SharedTokens: 1024, Groups: 50, OwnTokens: 1100, MaxTokens: 200, Target: 5 * time.Second, Deadline: 60 * time.Second},
 			{Name: "pickup", Pool: "depot-app", PerSecond: 20, MaxTokens: 1, Target: time.Second, Deadline: 5 * time.Second, Priority: 2, NonIdempotent: true},
--- a/proof/bench/scenario.go
+++ b/proof/bench/scenario.go
@@ -38,6 +38,7 @@
 		{Name: "quiet", Load: 0.4},
 		{Name: "busy", Load: 0.9},
 		{Name: "overload_1.5x", Load: 1.5},
+		{Name: "overload_3x", Load: 3},
 		{Name: "domain_reclaimed", Load: 0.6, ReclaimDomain: true},
 		{Name: "domain_failing", Load: 0.6, FailDomain: true},
 		{Name: "slow_replica", Load: 0.7, SlowReplica: true},
