Bound the prompt tokens that a gateway has in flight at a replica

Requests beyond 250 ms of predicted computing wait in the queue, where they can still be ordered. A replica that computes nothing takes any prompt, and a prompt that is cached adds little.

--- a/serving/route/selection.go
+++ b/serving/route/selection.go
@@ -31,10 +31,10 @@
 		s.tried++
 		return
 	}
-	if u.isSaturated() {
+	c := s.candidate(u)
+	if u.isSaturated(c.uncached) {
 		return
 	}
-	c := s.candidate(u)
 	if s.best.upstream == nil || s.isBetter(&c, &s.best) {
 		s.best = c
 	}
@@ -47,10 +47,8 @@
 		c.uncached -= c.cached
 	}
 	c.ordinary = u.ordinaryFirstToken(c.uncached)
-	slowness := u.slowness()
-	c.predicted = time.Duration(float64(c.ordinary) * slowness)
-	work := float64(time.Duration(c.uncached)*timePerToken) * slowness
-	c.cost = work * float64(max(u.replica.MicrosPerHour, 1))
+	c.predicted = time.Duration(float64(c.ordinary) * u.slowness())
+	c.cost = float64(u.computeTime(c.uncached)) * float64(max(u.replica.MicrosPerHour, 1))
 	return c
 }
 
--- a/serving/route/upstream.go
+++ b/serving/route/upstream.go
@@ -8,6 +8,11 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
 )
 
+// computeLimit bounds the time that an upstream is predicted to take for the
+// prompts that this gateway has sent it, so that further requests wait where
+// they can still be ordered.
+const computeLimit = 250 * time.Millisecond
+
 // upstream is a replica with what is known about it.
 type upstream struct {
 	replica Replica
@@ -72,9 +77,20 @@
 	u.ownAtLoad = u.history.countAt(at)
 }
 
-func (u *upstream) isSaturated() bool {
+// isSaturated reports whether the upstream is to get no request with a number
+// of prompt tokens to compute. One that computes nothing takes any prompt.
+func (u *upstream) isSaturated(uncached int) bool {
 	limit := u.replica.MaxConcurrent
-	return limit > 0 && u.inProgress() >= limit
+	if limit > 0 && u.inProgress() >= limit {
+		return true
+	}
+	return u.computing > 0 && u.computeTime(u.computing+uncached) > computeLimit
+}
+
+// computeTime predicts how long prompt tokens take to compute.
+func (u *upstream) computeTime(tokens int) time.Duration {
+	ordinary := float64(time.Duration(tokens) * timePerToken)
+	return time.Duration(ordinary * u.slowness())
 }
 
 // slowness is that of the upstream, or of its pool while it is not known.
