proof: check histories of concurrent callers

Many callers of two customers send requests and calls through three gateways in one process, with keys that callers share and deadlines that are too short, while a seeded schedule switches faults of the table service and the upstreams. What callers were told is compared with the witnesses of the upstreams: plain rules for every submission and request, and a porcupine model for each non-idempotent request.

--- /dev/null
+++ b/proof/concurrent/schedule/doc.go
@@ -0,0 +1,3 @@
+// Package schedule switches the faults of stand-ins on and off, at times that a
+// seed fixes.
+package schedule
--- /dev/null
+++ b/proof/concurrent/witness/doc.go
@@ -0,0 +1,2 @@
+// Package witness gathers what upstreams say that they ran.
+package witness
--- /dev/null
+++ b/proof/concurrent/witness/runs.go
@@ -0,0 +1,100 @@
+package witness
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/sycamorecourse/sycamorecourse/proof/concurrent/fetch"
+	"github.com/sycamorecourse/sycamorecourse/standin/engine"
+	"github.com/sycamorecourse/sycamorecourse/standin/service"
+)
+
+// path shows the witness of a stand-in.
+const path = "/standin/runs"
+
+// Runs counts the runs of each request.
+type Runs struct {
+	// Missing are the upstreams that did not answer.
+	Missing []string
+
+	requests map[string]int
+	calls    map[string]int
+}
+
+// Read asks all upstreams.
+func Read(client *fetch.Client, engines, services []string) (*Runs, error) {
+	runs := &Runs{requests: make(map[string]int), calls: make(map[string]int)}
+	for _, address := range engines {
+		w, err := ReadEngine(client, address)
+		if err != nil {
+			runs.Missing = append(runs.Missing, address)
+			continue
+		}
+		runs.addEngine(w)
+	}
+	for _, address := range services {
+		if err := runs.readService(client, address); err != nil {
+			return nil, err
+		}
+	}
+	return runs, nil
+}
+
+// ReadEngine asks one engine.
+func ReadEngine(client *fetch.Client, address string) (engine.Witness, error) {
+	body, err := client.Get(address, path)
+	if err != nil {
+		return engine.Witness{}, err
+	}
+	var w engine.Witness
+	err = json.Unmarshal(body, &w)
+	return w, err
+}
+
+// Requests returns how often engines started a request of a customer.
+func (r *Runs) Requests(customer, key string) int {
+	return r.requests[customer+"/"+key]
+}
+
+// Calls returns how often plain services ran a call.
+func (r *Runs) Calls(key string) int {
+	return r.calls[key]
+}
+
+// Total returns the number of all runs.
+func (r *Runs) Total() int {
+	total := 0
+	for _, n := range r.requests {
+		total += n
+	}
+	for _, n := range r.calls {
+		total += n
+	}
+	return total
+}
+
+func (r *Runs) addEngine(w engine.Witness) {
+	for _, request := range w.Requests {
+		id := request.RequestID
+		if at := strings.LastIndexByte(id, '#'); at >= 0 {
+			id = id[:at]
+		}
+		r.requests[id] += request.TimesStarted
+	}
+}
+
+func (r *Runs) readService(client *fetch.Client, address string) error {
+	body, err := client.Get(address, path)
+	if err != nil {
+		r.Missing = append(r.Missing, address)
+		return nil
+	}
+	var w service.Witness
+	if err := json.Unmarshal(body, &w); err != nil {
+		return err
+	}
+	for _, key := range w.Keys {
+		r.calls[key.Key] += key.Runs
+	}
+	return nil
+}
