dispatch: answer a duplicate whose first request ended here without an answer

Cause: a request that was recorded by another gateway ends here as unknown without having been accepted. A later caller of the same key was attached to it, and nothing wakes callers that wait at an ended request: it got no answer until its own deadline. Ruled out: the table service (no fault was on) and the client's choice of gateway (the key was known at the gateway asked).

Change: such a request is forgotten, so that the record is read again, and the caller gets the recorded answer once there is one. Any other request that ended before it was accepted gives its refusal at once.

The test of the core fails without the change.

--- a/serving/dispatch/core_arrive.go
+++ b/serving/dispatch/core_arrive.go
@@ -109,7 +109,9 @@
 }
 
 // arriveAgain handles a request under a key that is known. It returns false
-// when the known request was refused as not run, so that it may run now.
+// when the known request was refused as not run, so that it may run now, or
+// when its record belonged to another gateway, so that the record is read
+// again.
 func (c *Core) arriveAgain(known *entry, handle Handle, fingerprint attempt.Fingerprint) bool {
 	switch {
 	case known.fingerprint != fingerprint:
@@ -121,6 +123,12 @@
 		return true
 	case known.phase == phaseEnded && known.summary.Outcome() == request.NotRun:
 		return false
+	case known.phase == phaseEnded && !known.isAccepted && known.summary.Refusal.Reason == request.Duplicate:
+		return false
+	case known.phase == phaseEnded && !known.isAccepted:
+		// No answer will come that a caller could be attached to.
+		c.do(Refuse{Handle: handle, Refusal: known.summary.Refusal})
+		return true
 	default:
 		c.counts.Attached++
 		c.attach(known, handle, 0)
--- a/serving/dispatch/core_test.go
+++ b/serving/dispatch/core_test.go
@@ -33,9 +33,12 @@
 	actions []dispatch.Action
 }
 
-func newFixture() *fixture {
+func newFixture() *fixture { return newFixtureAt("gateway-1") }
+
+// newFixtureAt makes the Core of a gateway.
+func newFixtureAt(instance string) *fixture {
 	f := &fixture{now: clock.Instant(time.Hour)}
-	f.core = dispatch.New(dispatch.Config{Holder: attempt.Holder{Instance: "gateway-1", Incarnation: 1}})
+	f.core = dispatch.New(dispatch.Config{Holder: attempt.Holder{Instance: instance, Incarnation: 1}})
 	f.core.Configure(&intent.Configuration{Version: 1, Documents: []intent.Document{{
 		Member: "noranbus",
 		Models: []intent.Model{{Name: "route-llm", Version: "1", FirstTokenMillis: 1000, NextTokenMillis: 50}},
@@ -200,6 +203,35 @@
 		Expect(second.Address).NotTo(Equal(send.Address))
 	})
 
+	It("answers each duplicate of what another gateway has from the record as it then is", func() {
+		first := newFixtureAt("gateway-2")
+		first.arrive(1, "k", false)
+		claim := take[dispatch.WriteRows](first)
+		change := claim.Transaction.Changes[0]
+		first.core.Written(claim.ID, claim.Serial, nil, first.now)
+		send := take[dispatch.Send](first)
+		Expect(first.core.MaySend(send.Ref, first.now)).To(BeTrue())
+		readClaim := func(handle dispatch.Handle, found row.Row) {
+			f.arrive(handle, "k", false)
+			write := take[dispatch.WriteRows](f)
+			f.core.Written(write.ID, write.Serial, &row.ConflictError{Key: change.Key}, f.now)
+			read := take[dispatch.ReadRow](f)
+			f.core.ReadResult(read.ID, read.Serial, found, nil, f.now)
+		}
+
+		readClaim(2, row.Row{Key: change.Key, Version: 1, Value: change.Value})
+		refuse := take[dispatch.Refuse](f)
+		Expect(refuse.Handle).To(Equal(dispatch.Handle(2)))
+		Expect(refuse.Refusal.Outcome).To(Equal(request.Unknown))
+
+		first.core.Piece(send.Ref, 0, 4, "four", first.now)
+		first.core.Completed(send.Ref, dispatch.Usage{}, first.now)
+		change = take[dispatch.WriteRows](first).Transaction.Changes[0]
+		readClaim(3, row.Row{Key: change.Key, Version: 2, Value: change.Value})
+		Expect(take[dispatch.Accept](f).Handle).To(Equal(dispatch.Handle(3)))
+		Expect(take[dispatch.Finish](f).Summary.Outcome()).To(Equal(request.Completed))
+	})
+
 	It("attaches a duplicate to the request that came first, and keeps customers apart", func() {
 		f.arrive(1, "k", true)
 		f.arrive(2, "k", true)
