Hand open requests over to another gateway, and find answers by their record

Cause: a request that outlasts the drain of its gateway was cut. Ruled out: moving the upstream's run, since it goes on without us. Change: what is open at a third of the limit is offered to a linked gateway, which takes the record of a non-idempotent request by a conditional write and follows the stream where the pieces end; callers are told where. A gateway that does not know a key reads the record. Each connection of an attempt has a number, so that what a former one still brings is dropped.

--- a/daemon/gateway/apply.go
+++ b/daemon/gateway/apply.go
@@ -14,13 +14,14 @@
 		}
 	}
 	if u.Gateways != nil {
-		if err := g.admission.inbox.Offer(admissionMessage{addresses: u.Gateways}); err != nil {
+		if err := g.admission.inbox.Offer(admissionMessage{addresses: plainAddresses(u.Gateways)}); err != nil {
 			return err
 		}
-		if err := g.delivery.inbox.Offer(setAddresses{addresses: u.Gateways}); err != nil {
+		if err := g.delivery.inbox.Offer(setAddresses{gateways: u.Gateways}); err != nil {
 			return err
 		}
 	}
+	g.watchOwnInstance(u.Upserts)
 	if len(u.Upserts) > 0 || len(u.Removed) > 0 {
 		if err := g.probe.inbox.Offer(probeMessage{upserts: u.Upserts, removed: u.Removed}); err != nil {
 			return err
@@ -38,3 +39,19 @@
 func isProbed(instance fleet.Instance) bool {
 	return instance.State == fleet.Live
 }
+
+// watchOwnInstance begins a graceful shutdown when the instance of this gateway
+// is reclaimed.
+func (g *Gateway) watchOwnInstance(upserts []fleet.Instance) {
+	for _, instance := range upserts {
+		if instance.ID != g.settings.Instance || instance.State != fleet.Leaving {
+			continue
+		}
+		limit := g.settings.DrainTimeout
+		if left, known := timeLeft(instance); known {
+			limit = min(limit, left)
+		}
+		// A second notice changes nothing, so a full ring does no harm.
+		_ = g.drain.inbox.Offer(drainMessage{limit: limit, isReclaim: true})
+	}
+}
--- a/daemon/gateway/delivery.go
+++ b/daemon/gateway/delivery.go
@@ -23,7 +23,7 @@
 	callers   map[dispatch.Handle]*attached
 	exchanges map[*httpd.Exchange]*attached
 	answers   map[request.ID]*kept
-	addresses []caller.Address
+	gateways  []NamedAddress
 	gone      uint64
 }
 
@@ -66,10 +66,16 @@
 		d.finish(m)
 	case forgetAnswer:
 		d.forget(m.id)
+	case adoptAnswer:
+		d.adopt(m)
+	case recallAnswer:
+		d.recall(m)
+	case moveAnswer:
+		d.move(m)
 	case callerGone:
 		d.lose(d.exchanges[m.exchange])
 	case setAddresses:
-		d.addresses = m.addresses
+		d.gateways = m.gateways
 	case dumpDelivery:
 		_ = m.reply.Offer(report.Section{Name: "delivery", State: d.dump()})
 	}
@@ -144,14 +150,6 @@
 	_ = caller.ReplyProblem(a.exchange, m.refusal, d.others(m.refusal))
 }
 
-// others are the addresses that go with a refusal.
-func (d *delivery) others(r *request.Refusal) []caller.Address {
-	if r.Reason != request.Leaving && r.Reason != request.Duplicate {
-		return nil
-	}
-	return d.addresses
-}
-
 func (d *delivery) confirm(m confirmCancel) {
 	a := d.callers[m.handle]
 	if a == nil {
--- a/daemon/gateway/delivery_message.go
+++ b/daemon/gateway/delivery_message.go
@@ -2,7 +2,8 @@
 
 // deliveryMessage is a message to delivery: openCaller, acceptCaller,
 // attachCaller, refuseCaller, confirmCancel, deliverPieces, finishAnswer,
-// forgetAnswer, callerGone, setAddresses or dumpDelivery.
+// forgetAnswer, adoptAnswer, recallAnswer, moveAnswer, callerGone, setAddresses
+// or dumpDelivery.
 type deliveryMessage interface {
 	isDeliveryMessage()
 }
--- a/daemon/gateway/dispatcher.go
+++ b/daemon/gateway/dispatcher.go
@@ -34,6 +34,7 @@
 	metrics  *metrics
 	calls    map[dispatch.Ref]*httpc.Call
 	counted  clock.Instant
+	handover *handover
 }
 
 func (d *dispatcher) run() error {
@@ -48,6 +49,7 @@
 			d.handle(m, now)
 		} else {
 			d.core.Tick(now)
+			d.handover.tick(now)
 		}
 		d.carryOut(now)
 	}
@@ -99,6 +101,16 @@
 		d.update(m, now)
 	case leave:
 		d.core.Leave()
+	case handOver:
+		d.core.HandOver(now)
+	case peerUp:
+		d.handover.up(m.peer)
+	case peerDown:
+		d.handover.down(m.peer, now)
+	case takeOver:
+		d.handover.take(m, now)
+	case handedOver:
+		d.handover.answered(m, now)
 	case askIdle:
 		_ = m.reply.Offer(d.core.IsIdle())
 	case dumpDispatch:
@@ -163,6 +175,13 @@
 		d.deliver(a)
 	case dispatch.Finish:
 		_ = d.delivery.OfferReserved(finishAnswer{id: a.ID, pieces: a.Pieces, summary: a.Summary})
+	case dispatch.Moved:
+		_ = d.delivery.OfferReserved(moveAnswer{id: a.ID, address: a.Address})
+	case dispatch.Adopt:
+		_ = d.delivery.OfferReserved(adoptAnswer{id: a.ID, pieces: a.Pieces})
+	case dispatch.Recall:
+		// Without room the callers are cut off, and ask again.
+		_ = d.delivery.Offer(recallAnswer{id: a.ID, pieces: a.Pieces, summary: a.Summary})
 	case dispatch.Forget:
 		// An answer that is kept for longer than needed is dropped by its age.
 		_ = d.delivery.Offer(forgetAnswer{id: a.ID})
@@ -200,6 +219,12 @@
 		d.export(&a, now)
 	case dispatch.Import:
 		d.importCache(&a, now)
+	case dispatch.HandOver:
+		d.handover.offer(&a, now)
+	case dispatch.TakeOverAnswer:
+		d.handover.tookOver(a)
+	case dispatch.Detach:
+		d.detach(a.Ref)
 	case dispatch.WriteRows:
 		d.write(&a, now)
 	case dispatch.ReadRow:
@@ -237,11 +262,16 @@
 // abort ends the connection and tells the engine, which otherwise goes on for a
 // caller that may come back.
 func (d *dispatcher) abort(a *dispatch.Abort) {
-	if call := d.calls[a.Ref]; call != nil {
-		delete(d.calls, a.Ref)
+	d.detach(a.Ref)
+	_ = d.upstream.Start(engine.NewCancelCall(a, cancelTimeout))
+}
+
+// detach ends the connection of an attempt.
+func (d *dispatcher) detach(ref dispatch.Ref) {
+	if call := d.calls[ref]; call != nil {
+		delete(d.calls, ref)
 		_ = d.upstream.Cancel(call)
 	}
-	_ = d.upstream.Start(engine.NewCancelCall(a, cancelTimeout))
 }
 
 func (d *dispatcher) note(a *dispatch.Note) {
--- a/daemon/gateway/drain.go
+++ b/daemon/gateway/drain.go
@@ -12,6 +12,10 @@
 // idleWait is the time between two questions whether all requests have ended.
 const idleWait = 50 * time.Millisecond
 
+// handOverPart is the part of the limit that requests are given to end by
+// themselves, before they are handed over: one of so many.
+const handOverPart = 3
+
 // drain is the duty that ends a gateway gracefully: no new requests, other
 // addresses for those who come, and an end when all open requests have ended
 // and callers have had time to drop this address. A second stop ends it at once.
@@ -27,25 +31,35 @@
 
 // run returns nil after a graceful end, else a *CutError.
 func (d *drain) run() error {
-	if _, err := d.inbox.Take(); err != nil {
+	first, err := d.inbox.Take()
+	if err != nil {
 		return nil
 	}
 	start := d.clock.Now()
-	d.log.Info().Msg("drain_started")
+	limit := d.limit
+	if first.limit > 0 {
+		limit = min(limit, first.limit)
+	}
+	d.log.Info().Dur("limit_ms", limit).Bool("reclaim", first.isReclaim).Msg("drain_started")
 	d.announce()
 	for {
-		_, again, err := d.inbox.TakeUntil(idleWait)
+		m, isForced, err := d.inbox.TakeUntil(idleWait)
 		if err != nil {
 			return nil
 		}
-		now := d.clock.Now()
+		isForced = isForced && !m.isReclaim
+		passed := d.clock.Now().Sub(start)
 		idle := d.isIdle()
-		if idle && now.Sub(start) >= d.delay {
-			d.log.Info().Dur("took", now.Sub(start)).Msg("drain_ended")
+		if idle && passed >= min(d.delay, limit/2) {
+			d.log.Info().Dur("took_ms", passed).Msg("drain_ended")
 			return nil
 		}
-		if again || now.Sub(start) >= d.limit {
-			return &CutError{Forced: again, After: now.Sub(start)}
+		if isForced || passed >= limit {
+			return &CutError{Forced: isForced, After: passed}
+		}
+		if !idle && passed >= limit/handOverPart {
+			// When dispatch has no room it is asked again the next time.
+			_ = d.dispatch.Offer(handOver{})
 		}
 	}
 }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -10,18 +10,21 @@
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
 	"github.com/sycamorecourse/sycamorecourse/coord/thread"
+	"github.com/sycamorecourse/sycamorecourse/daemon/follow"
 	"github.com/sycamorecourse/sycamorecourse/daemon/report"
 	"github.com/sycamorecourse/sycamorecourse/edge/caller"
 	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
 	"github.com/sycamorecourse/sycamorecourse/edge/httpd"
+	"github.com/sycamorecourse/sycamorecourse/edge/link"
 	platform "github.com/sycamorecourse/sycamorecourse/edge/platform/table"
+	"github.com/sycamorecourse/sycamorecourse/edge/wire"
 	"github.com/sycamorecourse/sycamorecourse/serving/dispatch"
 	"github.com/sycamorecourse/sycamorecourse/serving/route"
 )
 
 const (
 	// maxDuties bounds the duties of a gateway.
-	maxDuties = 64
+	maxDuties = 128
 	// admissionSlots is the capacity of admission's ring.
 	admissionSlots = 1024
 	// drainSlots is the capacity of the drain's ring.
@@ -49,13 +52,17 @@
 	record    *httpc.Client
 	api       *httpd.Server
 	admin     *httpd.Server
+	registry  *prometheus.Registry
+	// links and follow are nil for a gateway without a link address.
+	links  *link.Links
+	follow *follow.Follow
 }
 
 // New makes a gateway. Open starts its servers and Run its duties.
 func New(s *Settings, log zerolog.Logger, release string) *Gateway {
 	registry := prometheus.NewRegistry()
 	group := thread.NewGroup(maxDuties)
-	g := &Gateway{settings: s, log: log, group: group}
+	g := &Gateway{settings: s, log: log, group: group, registry: registry}
 	process := report.Process{Role: Role, Instance: s.Instance, FailureDomain: s.FailureDomain, Release: release}
 	g.report = report.New(process, registry, group)
 	admissions := ring.New[admissionMessage]("admission", admissionSlots)
@@ -102,6 +109,15 @@
 		Route:       route.Config{Policy: route.Policy(s.Policy)},
 	})
 	return &dispatcher{
+		handover: &handover{
+			core:          core,
+			delivery:      delivery,
+			failureDomain: s.FailureDomain,
+			log:           log,
+			gateways:      make(map[string]wire.Hello),
+			offers:        make(map[uint64]offered),
+			sources:       make(map[uint64]offerSource),
+		},
 		inbox:    inbox,
 		delivery: delivery,
 		core:     core,
@@ -156,7 +172,7 @@
 		g.settings.PublicAddress = g.api.Address()
 	}
 	g.delivery.address = g.settings.PublicAddress
-	return nil
+	return g.openLinks(g.registry)
 }
 
 // Address returns the address that callers are told to use, known after Open.
@@ -187,7 +203,8 @@
 	g.group.Start("drain", g.drain.run)
 	g.group.Start("report", g.report.Run)
 	g.log.Info().Str("instance", g.settings.Instance).Str("failure_domain", g.settings.FailureDomain).
-		Str("listen", g.api.Address()).Str("admin", g.admin.Address()).Msg("gateway_started")
+		Str("listen", g.api.Address()).Str("admin", g.admin.Address()).Str("link", g.linkAddress()).
+		Msg("gateway_started")
 	ended, err := g.group.WaitAny()
 	if err == nil && ended.Err != nil {
 		g.log.Error().Str("duty", ended.Duty).Str("cause", ended.Err.Error()).Msg("duty_failed")
@@ -196,7 +213,15 @@
 	return ended.Err
 }
 
+func (g *Gateway) linkAddress() string {
+	if g.links == nil {
+		return ""
+	}
+	return g.links.Address()
+}
+
 func (g *Gateway) close() {
+	g.closeLinks()
 	g.drain.inbox.Close()
 	g.probe.inbox.Close()
 	g.admission.inbox.Close()
@@ -217,4 +242,8 @@
 func (g *Gateway) announceLeave() {
 	_ = g.admission.inbox.Offer(admissionMessage{leave: true})
 	_ = g.dispatch.inbox.Offer(leave{})
+	if g.follow != nil {
+		// Heartbeats tell the state again when a message is lost.
+		_ = g.follow.SetLeaving()
+	}
 }
--- /dev/null
+++ b/daemon/gateway/peer_down.go
@@ -0,0 +1,10 @@
+package gateway
+
+import "github.com/sycamorecourse/sycamorecourse/edge/wire"
+
+// peerDown says that a link has ended.
+type peerDown struct {
+	peer wire.Hello
+}
+
+func (peerDown) isDispatchMessage() {}
--- /dev/null
+++ b/daemon/gateway/peer_up.go
@@ -0,0 +1,10 @@
+package gateway
+
+import "github.com/sycamorecourse/sycamorecourse/edge/wire"
+
+// peerUp says that there is a link to a process.
+type peerUp struct {
+	peer wire.Hello
+}
+
+func (peerUp) isDispatchMessage() {}
--- a/daemon/gateway/update.go
+++ b/daemon/gateway/update.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"github.com/sycamorecourse/sycamorecourse/edge/caller"
 	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
 	"github.com/sycamorecourse/sycamorecourse/serving/intent"
 )
@@ -16,5 +15,5 @@
 	Removed []string
 	// Gateways are the addresses of all live gateways that are not leaving, this
 	// one included.
-	Gateways []caller.Address
+	Gateways []NamedAddress
 }
--- a/edge/caller/encode_problem.go
+++ b/edge/caller/encode_problem.go
@@ -27,6 +27,7 @@
 	request.NotConfigured:    http.StatusServiceUnavailable,
 	request.UpstreamFailed:   http.StatusBadGateway,
 	request.Duplicate:        http.StatusConflict,
+	request.Moved:            http.StatusServiceUnavailable,
 	request.Canceled:         http.StatusGone,
 }
 
--- a/proof/bed/bed.go
+++ b/proof/bed/bed.go
@@ -106,10 +106,10 @@
 }
 
 // Addresses lists the gateways.
-func (b *Bed) Addresses() []caller.Address {
-	var list []caller.Address
+func (b *Bed) Addresses() []gateway.NamedAddress {
+	var list []gateway.NamedAddress
 	for _, g := range b.Gateways {
-		list = append(list, caller.Address{Address: g.Address(), FailureDomain: "seoul-a", Weight: 1})
+		list = append(list, gateway.NamedAddress{Address: caller.Address{Address: g.Address(), FailureDomain: "seoul-a", Weight: 1}})
 	}
 	return list
 }
--- a/serving/dispatch/config.go
+++ b/serving/dispatch/config.go
@@ -8,6 +8,10 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/route"
 )
 
+// retryPause is when a caller may try again after a refusal that says nothing of
+// how long its cause lasts.
+const retryPause = time.Second
+
 // Config sets up a Core. The zero value of each field but Holder takes its
 // default.
 type Config struct {
--- a/serving/dispatch/core.go
+++ b/serving/dispatch/core.go
@@ -22,6 +22,7 @@
 	entries   map[request.ID]*entry
 	bySeq     map[uint64]*entry
 	instances map[string]fleet.Instance
+	lookups   map[request.ID]*lookup
 	timers    timers
 	lastSeq   uint64
 	lastNonce uint64
@@ -41,6 +42,7 @@
 		queue:     admit.New(cfg.Queue),
 		entries:   make(map[request.ID]*entry),
 		bySeq:     make(map[uint64]*entry),
+		lookups:   make(map[request.ID]*lookup),
 		instances: make(map[string]fleet.Instance),
 		gateways:  1,
 	}
@@ -90,8 +92,12 @@
 	c.isLeaving = true
 }
 
-// IsIdle reports whether no request is open and no record is being written.
+// IsIdle reports whether no request is open and no record is being written or
+// read.
 func (c *Core) IsIdle() bool {
+	if len(c.lookups) > 0 {
+		return false
+	}
 	for _, e := range c.entries {
 		if e.isTracked() {
 			return false
@@ -153,7 +159,7 @@
 		}
 		if dropped.Reason == request.Overloaded && e.isAccepted {
 			// An accepted request waits for its next attempt whatever the load.
-			c.requeue(e)
+			c.requeue(e, now)
 			continue
 		}
 		c.endRefused(e, dropped.Reason, "waited too long for an upstream", now)
--- a/serving/dispatch/core_arrive.go
+++ b/serving/dispatch/core_arrive.go
@@ -24,7 +24,7 @@
 		return
 	}
 	if c.catalog == nil {
-		c.refuse(a.Handle, request.NotConfigured, "no configuration has been confirmed yet", time.Second)
+		c.refuse(a.Handle, request.NotConfigured, "no configuration has been confirmed yet", retryPause)
 		return
 	}
 	target, refusal := c.resolve(&a.Request)
@@ -45,7 +45,7 @@
 		c.forget(known)
 	}
 	if !c.makeRoom() {
-		c.refuse(a.Handle, request.Overloaded, "too many requests are open", time.Second)
+		c.refuse(a.Handle, request.Overloaded, "too many requests are open", retryPause)
 		return
 	}
 	c.enter(&entry{
@@ -65,7 +65,7 @@
 	e := c.entries[id]
 	switch {
 	case e == nil:
-		c.refuse(handle, request.NotFound, "this gateway knows no request with this key", 0)
+		c.lookUp(Attach{Handle: handle, ID: id, From: from})
 		return
 	case e.phase == phaseEnded && !e.isAccepted:
 		c.do(Refuse{Handle: handle, Refusal: e.summary.Refusal})
@@ -247,7 +247,7 @@
 func (c *Core) refuseAdmission(handle Handle, err error) {
 	var refused *admit.RefusedError
 	if !errors.As(err, &refused) {
-		c.refuse(handle, request.Overloaded, err.Error(), time.Second)
+		c.refuse(handle, request.Overloaded, err.Error(), retryPause)
 		return
 	}
 	detail := fmt.Sprintf("not admitted: %s", refused.Reason)
--- a/serving/dispatch/core_attempt.go
+++ b/serving/dispatch/core_attempt.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"time"
-
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/admit"
 	"github.com/sycamorecourse/sycamorecourse/serving/request"
@@ -125,6 +123,7 @@
 	e.reattached = false
 	e.isStreamLost = false
 	e.attempt++
+	e.stream = 0
 	switch {
 	case e.cache != nil:
 		c.startWithCache(e, now)
@@ -166,6 +165,7 @@
 	e.mayHaveRun = true
 	c.counts.Reattached++
 	c.note(AttemptReattached, e, "")
+	e.stream++
 	c.do(Reattach{Ref: e.ref(), Address: e.choice.Address, FromToken: e.log.Tokens(), Deadline: e.deadline})
 	return true
 }
@@ -205,15 +205,22 @@
 		// All others are tried, or none is live: any may be tried again.
 		e.tried = nil
 	}
-	c.requeue(e)
+	c.requeue(e, now)
 	c.pump(now)
 }
 
-// requeue puts a dispatched request back into the queue.
-func (c *Core) requeue(e *entry) {
+// requeue puts a request into the queue for another attempt. One that was taken
+// over from another gateway has not been in the queue here.
+func (c *Core) requeue(e *entry, now clock.Instant) {
 	e.phase = phaseQueued
-	e.isDispatched = false
-	c.queue.Requeue(e.queued)
+	if e.isDispatched {
+		e.isDispatched = false
+		c.queue.Requeue(e.queued)
+		return
+	}
+	if err := c.queue.Admit(e.queued, now); err != nil {
+		c.endFailed(e, now)
+	}
 }
 
 // endAttempt gives the upstream's place back.
@@ -245,6 +252,9 @@
 		c.cancelClaim(e)
 		c.dropAttempt(e, now)
 		c.endRefused(e, reason, detail, now)
+	case phaseHandingOver:
+		e.mayHaveRun = true
+		c.endUnknown(e, reason, detail, now)
 	case phaseRunning:
 		c.do(Abort{Ref: e.ref(), Address: e.choice.Address})
 		e.mayHaveRun = true
@@ -279,7 +289,7 @@
 		return
 	}
 	c.counts.NotRun++
-	c.end(e, request.Summary{Refusal: notRun(reason, detail, time.Second)}, now)
+	c.end(e, request.Summary{Refusal: notRun(reason, detail, retryPause)}, now)
 }
 
 func (c *Core) endUnknown(e *entry, reason request.Reason, detail string, now clock.Instant) {
@@ -294,10 +304,7 @@
 	if summary.Refusal == nil {
 		c.counts.Completed++
 	}
-	if e.isDispatched {
-		e.isDispatched = false
-		c.queue.Finished(e.queued, now.Sub(e.sentAt))
-	}
+	c.leaveQueue(e, now)
 	e.phase = phaseEnded
 	e.ended = now
 	e.summary = summary
--- a/serving/dispatch/core_claim.go
+++ b/serving/dispatch/core_claim.go
@@ -18,6 +18,9 @@
 
 // ReadResult takes the result of ReadRow.
 func (c *Core) ReadResult(id request.ID, serial uint64, found row.Row, err error, now clock.Instant) {
+	if c.lookedUp(id, serial, found, err, now) {
+		return
+	}
 	if e := c.awaiting(id, serial); e != nil {
 		c.step(e, e.claim.ReadResult(found, err, now), now)
 	}
@@ -80,6 +83,10 @@
 		c.claimRefusedHere(e, s, now)
 	case attempt.Duplicate:
 		c.claimDuplicate(e, s, now)
+	case attempt.Attach:
+		c.claimAttached(e, now)
+	case attempt.Lost:
+		c.claimLost(e, now)
 	case attempt.Done:
 		c.claimDone(e, s, now)
 	}
@@ -126,6 +133,10 @@
 
 // claimDuplicate answers from the record of the request that came first.
 func (c *Core) claimDuplicate(e *entry, s attempt.Duplicate, now clock.Instant) {
+	if e.token != 0 {
+		c.claimLost(e, now)
+		return
+	}
 	e.claim = nil
 	if e.phase != phaseClaiming {
 		return
@@ -151,10 +162,7 @@
 		return
 	}
 	c.accept(e)
-	if kept.Reply == nil {
-		// The log is empty, so the first piece follows.
-		_ = e.log.Append(request.Piece{Attempt: e.attempt, Tokens: kept.Tokens, Text: kept.Text})
-	}
+	e.complete(kept)
 	c.end(e, request.Summary{Reply: kept.Reply}, now)
 }
 
--- a/serving/dispatch/core_move.go
+++ b/serving/dispatch/core_move.go
@@ -137,7 +137,7 @@
 		c.router.Failed(&e.choice, route.Canceled, now)
 	}
 	e.tried = append(e.tried, e.choice.ID)
-	c.requeue(e)
+	c.requeue(e, now)
 }
 
 // startWithCache gives the KV cache of a moved request to its next upstream.
--- a/serving/dispatch/counts.go
+++ b/serving/dispatch/counts.go
@@ -26,6 +26,10 @@
 	Exported uint64 `json:"exported"`
 	// Imported is the number of attempts that went on with their KV cache.
 	Imported uint64 `json:"imported"`
+	// HandedOver is the number of requests given to other gateways.
+	HandedOver uint64 `json:"handed_over"`
+	// TakenOver is the number of requests taken from other gateways.
+	TakenOver uint64 `json:"taken_over"`
 	// Reattached is the number of streams taken up again.
 	Reattached uint64 `json:"reattached"`
 	// Tokens is the number of tokens given to callers.
--- a/serving/dispatch/entry.go
+++ b/serving/dispatch/entry.go
@@ -29,6 +29,7 @@
 	tried   []string
 	choice  route.Choice
 	attempt int
+	stream  int
 
 	isDispatched bool // taken out of the queue, which counts it as running
 
@@ -50,6 +51,9 @@
 	isDetached bool
 	detachedAt clock.Instant
 
+	token   uint64   // of the TakeOver that is not answered yet; 0 for none
+	handoff *Handoff // as offered to another gateway
+
 	claim   *attempt.Claim
 	serial  uint64
 	pending bool // a call to the table service is outstanding
@@ -58,12 +62,12 @@
 }
 
 func (e *entry) ref() Ref {
-	return Ref{ID: e.request.ID, Number: e.attempt}
+	return Ref{ID: e.request.ID, Number: e.attempt, Stream: e.stream}
 }
 
 // isCurrent reports whether a reference names the running attempt.
 func (e *entry) isCurrent(ref Ref) bool {
-	return e.phase == phaseRunning && ref.Number == e.attempt
+	return e.phase == phaseRunning && ref.Number == e.attempt && ref.Stream == e.stream
 }
 
 func (e *entry) isTracked() bool {
--- /dev/null
+++ b/serving/dispatch/lookup.go
@@ -0,0 +1,7 @@
+package dispatch
+
+// lookup is a read of the record of a request that this gateway does not know.
+type lookup struct {
+	serial  uint64
+	waiting []Attach
+}
--- a/serving/dispatch/phase.go
+++ b/serving/dispatch/phase.go
@@ -10,15 +10,18 @@
 	phaseClaiming
 	// phaseRunning requests have an attempt at an upstream.
 	phaseRunning
+	// phaseHandingOver requests were offered to another gateway.
+	phaseHandingOver
 	// phaseEnded requests have ended; their answer is kept for a while.
 	phaseEnded
 )
 
 var phaseNames = map[phase]string{
-	phaseQueued:   "queued",
-	phaseClaiming: "claiming",
-	phaseRunning:  "running",
-	phaseEnded:    "ended",
+	phaseQueued:      "queued",
+	phaseClaiming:    "claiming",
+	phaseRunning:     "running",
+	phaseHandingOver: "handing_over",
+	phaseEnded:       "ended",
 }
 
 // String implements fmt.Stringer.
--- a/serving/dispatch/recorded_answer.go
+++ b/serving/dispatch/recorded_answer.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"strings"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/sycamorecourse/sycamorecourse/serving/request"
@@ -33,3 +35,18 @@
 	}
 	return &a, nil
 }
+
+// complete appends what a recorded answer has beyond the pieces so far.
+func (e *entry) complete(kept *recordedAnswer) {
+	rest, found := strings.CutPrefix(kept.Text, e.log.Text())
+	if kept.Reply != nil || !found || rest == "" {
+		return
+	}
+	// The index follows by construction.
+	_ = e.log.Append(request.Piece{
+		Attempt: e.attempt,
+		Index:   e.log.Len(),
+		Tokens:  kept.Tokens - e.log.Tokens(),
+		Text:    rest,
+	})
+}
--- a/serving/request/reason.go
+++ b/serving/request/reason.go
@@ -31,6 +31,8 @@
 	UpstreamFailed Reason = "upstream_failed"
 	// Duplicate is a non-idempotent request that another holder has.
 	Duplicate Reason = "duplicate"
+	// Moved is a request that another gateway goes on with.
+	Moved Reason = "moved"
 	// Canceled is a request that its caller gave up.
 	Canceled Reason = "canceled"
 )
--- a/serving/request/refusal.go
+++ b/serving/request/refusal.go
@@ -10,6 +10,8 @@
 	Reason Reason
 	// Detail is a sentence for the caller, without prompt text or secrets.
 	Detail string
+	// Gateway names the gateway that has the request, if another one does.
+	Gateway string
 	// RetryAfter is when the caller may try again; 0 means that it should not.
 	RetryAfter time.Duration
 }
