--- /dev/null
+++ b/daemon/follow/configuration_published.go
@@ -0,0 +1,10 @@
+package follow
+
+import "github.com/sycamorecourse/sycamorecourse/serving/intent"
+
+// configurationPublished is a confirmed configuration from the store.
+type configurationPublished struct {
+	configuration *intent.Configuration
+}
+
+func (configurationPublished) isEvent() {}
--- /dev/null
+++ b/daemon/follow/state_set.go
@@ -0,0 +1,10 @@
+package follow
+
+import "github.com/sycamorecourse/sycamorecourse/serving/spread"
+
+// stateSet is a change of the state of this process.
+type stateSet struct {
+	state spread.State
+}
+
+func (stateSet) isEvent() {}
--- a/edge/link/close_code.go
+++ b/edge/link/close_code.go
@@ -13,6 +13,7 @@
 	codeHandshake
 	codeUnresponsive
 	codeBroken
+	codeShutdown
 )
 
 // codeOf returns the code that tells the peer about an error.
@@ -20,6 +21,8 @@
 	switch err.(type) {
 	case *ReleasedError:
 		return codeReleased
+	case *ShutdownError:
+		return codeShutdown
 	case *ReplacedError:
 		return codeReplaced
 	case *TooManyError:
@@ -42,6 +45,8 @@
 	switch closed.ErrorCode {
 	case codeReleased, codeTooMany:
 		return &ReleasedError{Remote: true}
+	case codeShutdown:
+		return &ShutdownError{Remote: true}
 	case codeReplaced:
 		return &ReplacedError{ID: id}
 	default:
--- a/edge/link/handler.go
+++ b/edge/link/handler.go
@@ -10,7 +10,8 @@
 	Up(peer wire.Hello)
 	// Receive gives a message from a peer.
 	Receive(from wire.Hello, m wire.Message)
-	// Down says that a link has ended. A *ReleasedError means that one side no
-	// longer wanted it; after any other error the peer may have failed.
+	// Down says that a link has ended. After a *ReleasedError (one side no longer
+	// wanted it) or a *ReplacedError the peer is well; after any other error it
+	// may have failed.
 	Down(peer wire.Hello, err error)
 }
--- a/edge/link/link_test.go
+++ b/edge/link/link_test.go
@@ -151,7 +151,7 @@
 		Expect(a.links.SetTargets(targets(b))).To(Succeed())
 		a.next("up")
 		b.stop()
-		Expect(a.next("down").err).To(BeAssignableToTypeOf(&link.ReleasedError{}))
+		Expect(a.next("down").err).To(Equal(&link.ShutdownError{Remote: true}))
 		b = start(directory, "b", func(c *link.Config) { c.Listen = address })
 		defer b.stop()
 		Expect(a.next("up").peer.Incarnation).To(Equal(b.links.Self().Incarnation))
--- a/edge/link/manager.go
+++ b/edge/link/manager.go
@@ -291,11 +291,11 @@
 		targets.Close()
 	}
 	for s := range maps.Values(m.up) {
-		m.takeDown(s, &ReleasedError{})
+		m.takeDown(s, &ShutdownError{})
 	}
 	for _, s := range m.links.slots {
 		if s.session != nil {
-			m.closeConn(s.session.conn, &ReleasedError{})
+			m.closeConn(s.session.conn, &ShutdownError{})
 		}
 		s.reads.Close()
 		s.writes.Close()
--- a/serving/spread/node.go
+++ b/serving/spread/node.go
@@ -181,6 +181,11 @@
 	return n.configuration
 }
 
+// FleetPosition returns the position of the view of the fleet.
+func (n *Node) FleetPosition() Position {
+	return n.fleet.position
+}
+
 // Members returns all members, ordered by identity.
 func (n *Node) Members() []Member {
 	return slices.SortedFunc(maps.Values(n.members.members), func(a, b Member) int {
