--- a/ctl/command/keys.go
+++ b/ctl/command/keys.go
@@ -55,6 +55,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
+	if len(k.instances) == 0 {
+		fmt.Fprint(os.Stderr, "--names is missing\n", k.Usage())
+		return subcommands.ExitUsageError
+	}
 	var names []keys.Name
 	for _, instance := range k.instances {
 		names = append(names, keys.Name{Role: "gateway", Instance: instance}, keys.Name{Role: "controller", Instance: instance})
--- a/edge/keys/authority.go
+++ b/edge/keys/authority.go
@@ -62,8 +62,11 @@
 }
 
 // Issue makes a certificate for a process, both for dialling and for
-// listening.
+// listening. It fails with an *InvalidNameError or an *IssueError.
 func (a *Authority) Issue(name Name, valid time.Duration) (*Pair, error) {
+	if err := name.check(); err != nil {
+		return nil, err
+	}
 	subject := name.String()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
--- a/edge/keys/write.go
+++ b/edge/keys/write.go
@@ -26,9 +26,14 @@
 }
 
 // WriteAll makes an authority and a certificate for each name, and writes them
-// to a directory. It never replaces a file. It fails with an *IssueError or a
-// *WriteError.
+// to a directory. It never replaces a file. It fails with an *InvalidNameError,
+// an *IssueError or a *WriteError.
 func WriteAll(directory string, names []Name, valid time.Duration) error {
+	for _, name := range names {
+		if err := name.check(); err != nil {
+			return err
+		}
+	}
 	authority, err := NewAuthority(valid)
 	if err != nil {
 		return err
