Let a request wait for the replica that holds its prefix while its target allows

A saturated replica that saves 256 prompt tokens or more is waited for as long as the best replica with room would still meet the latency target.

--- a/serving/route/job.go
+++ b/serving/route/job.go
@@ -18,8 +18,8 @@
 	MaxTokens int
 	// Remaining is the time until the deadline of the whole answer; 0 is none.
 	Remaining time.Duration
-	// LatencyTarget is the time left in which the first token is wanted; 0 is
-	// none.
+	// LatencyTarget is the time left in which the first token is wanted; 0 or
+	// less means that there is no target or that it has passed.
 	LatencyTarget time.Duration
 	// Avoid lists the replicas that were tried before.
 	Avoid []string
--- a/serving/route/router_choose.go
+++ b/serving/route/router_choose.go
@@ -15,7 +15,8 @@
 )
 
 // Choose returns the replica that is to run a job, or a *NoReplicaError, or a
-// *SaturatedError. It changes nothing until Started.
+// *SaturatedError. The latter is also returned for a job that had better wait
+// for the replica that holds its prefix. Choose changes nothing until Started.
 func (r *Router) Choose(job Job, now clock.Instant) (Choice, error) {
 	p := r.pools[job.Pool]
 	if p == nil {
@@ -33,7 +34,7 @@
 		r.considerHolders(p, &s, now)
 		r.sample(p, &s)
 	}
-	if s.best.upstream == nil {
+	if s.best.upstream == nil || s.waits() {
 		return Choice{}, s.failure()
 	}
 	return s.choice(), nil
--- a/serving/route/saturated_error.go
+++ b/serving/route/saturated_error.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// SaturatedError reports that each live replica is at its limit.
+// SaturatedError reports that each live replica is at its limit, or those that
+// are worth waiting for.
 type SaturatedError struct {
 	// Pool names the pool.
 	Pool string
@@ -15,5 +16,5 @@
 
 // Error implements error.
 func (e *SaturatedError) Error() string {
-	return fmt.Sprintf("all replicas of pool %q are at their limit, retry after %s", e.Pool, e.RetryAfter)
+	return fmt.Sprintf("the replicas of pool %q are at their limit, retry after %s", e.Pool, e.RetryAfter)
 }
--- a/serving/route/selection.go
+++ b/serving/route/selection.go
@@ -10,12 +10,19 @@
 // to lie for the cheapest replica to be taken.
 const slackPart = 0.5
 
+// waitTokens is the least number of prompt tokens to be saved for which a job
+// waits for a saturated replica.
+const waitTokens = 256
+
 // selection is the best candidate so far of one call of Choose.
 type selection struct {
 	policy Policy
 	job    *Job
 	call   uint64
 	best   candidate
+	// saturated is the candidate without room that has the fewest prompt tokens
+	// to compute.
+	saturated candidate
 	// live and tried count the upstreams that take work, and those of them that
 	// the job has tried.
 	live, tried int
@@ -33,6 +40,9 @@
 	}
 	c := s.candidate(u)
 	if u.isSaturated(c.uncached) {
+		if s.saturated.upstream == nil || c.uncached < s.saturated.uncached {
+			s.saturated = c
+		}
 		return
 	}
 	if s.best.upstream == nil || s.isBetter(&c, &s.best) {
@@ -87,6 +97,17 @@
 	}
 }
 
+// waits reports whether the job is to wait for a saturated replica that holds
+// more of its prompt than the best one with room. It waits while its latency
+// target can still be met by the best one.
+func (s *selection) waits() bool {
+	if s.saturated.upstream == nil || s.best.upstream == nil {
+		return false
+	}
+	saved := s.best.uncached - s.saturated.uncached
+	return saved >= waitTokens && s.job.LatencyTarget > s.best.predicted
+}
+
 func (s *selection) failure() error {
 	if s.live == s.tried {
 		return &NoReplicaError{Pool: s.job.Pool, Model: s.job.Model, Tried: s.tried}
