--- a/proof/concurrent/callers/caller.go
+++ b/proof/concurrent/callers/caller.go
@@ -147,6 +147,15 @@
 		call.Body = []byte(r.Prompt)
 	}
 	reply, err := c.client.Call(call)
+	if err != nil {
+		return err
+	}
+	if reply.Status != http.StatusOK {
+		// The service's own reply does not say in a common way whether it ran.
+		return &client.RefusedError{
+			Status: reply.Status, Outcome: string(Unknown), Reason: "service", Detail: string(reply.Body),
+		}
+	}
 	r.Text = string(reply.Body)
-	return err
+	return nil
 }
--- a/proof/concurrent/history_test.go
+++ b/proof/concurrent/history_test.go
@@ -77,7 +77,7 @@
 func readRuns(b *bed.Bed) *witness.Runs {
 	client, err := fetch.Open()
 	Expect(err).NotTo(HaveOccurred())
-	runs, err := witness.Read(client, engines(b), []string{b.Service.Address()})
+	runs, err := witness.Read(client, append(engines(b), b.Service.Address()))
 	Expect(err).NotTo(HaveOccurred())
 	Expect(client.Close()).To(Succeed())
 	Expect(runs.Missing).To(BeEmpty())
--- a/proof/concurrent/witness/runs.go
+++ b/proof/concurrent/witness/runs.go
@@ -21,19 +21,16 @@
 	calls    map[string]int
 }
 
-// Read asks all upstreams.
-func Read(client *fetch.Client, engines, services []string) (*Runs, error) {
+// Read asks all upstreams, engines and plain services alike.
+func Read(client *fetch.Client, upstreams []string) (*Runs, error) {
 	runs := &Runs{requests: make(map[string]int), calls: make(map[string]int)}
-	for _, address := range engines {
-		w, err := ReadEngine(client, address)
+	for _, address := range upstreams {
+		body, err := client.Get(address, path)
 		if err != nil {
 			runs.Missing = append(runs.Missing, address)
 			continue
 		}
-		runs.addEngine(w)
-	}
-	for _, address := range services {
-		if err := runs.readService(client, address); err != nil {
+		if err := runs.add(body); err != nil {
 			return nil, err
 		}
 	}
@@ -73,27 +70,25 @@
 	return total
 }
 
-func (r *Runs) addEngine(w engine.Witness) {
-	for _, request := range w.Requests {
+// add takes the witness of an upstream: that of an engine names requests, that
+// of a plain service names keys.
+func (r *Runs) add(body []byte) error {
+	var e engine.Witness
+	if err := json.Unmarshal(body, &e); err != nil {
+		return err
+	}
+	for _, request := range e.Requests {
 		id := request.RequestID
 		if at := strings.LastIndexByte(id, '#'); at >= 0 {
 			id = id[:at]
 		}
 		r.requests[id] += request.TimesStarted
 	}
-}
-
-func (r *Runs) readService(client *fetch.Client, address string) error {
-	body, err := client.Get(address, path)
-	if err != nil {
-		r.Missing = append(r.Missing, address)
-		return nil
-	}
-	var w service.Witness
-	if err := json.Unmarshal(body, &w); err != nil {
+	var s service.Witness
+	if err := json.Unmarshal(body, &s); err != nil {
 		return err
 	}
-	for _, key := range w.Keys {
+	for _, key := range s.Keys {
 		r.calls[key.Key] += key.Runs
 	}
 	return nil
--- /dev/null
+++ b/proof/scenarios/process/doc.go
@@ -0,0 +1,2 @@
+// Package process runs programs of the project as child processes.
+package process
--- /dev/null
+++ b/proof/scenarios/process/exited.go
@@ -0,0 +1,7 @@
+package process
+
+// exited is the end of a process.
+type exited struct {
+	status int
+	err    error
+}
--- /dev/null
+++ b/proof/scenarios/relay/pipe.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/coord/thread"
+)
+
+const (
+	// pipeBytes is the size of a pipe's buffer.
+	pipeBytes = 32 << 10
+	// releaseSlots is the capacity of the ring that ends a hold.
+	releaseSlots = 4
+)
+
+// pipe copies one direction of a connection. While it is held it reads nothing.
+type pipe struct {
+	from     *net.TCPConn
+	to       *net.TCPConn
+	released *ring.Ring[bool]
+	thread   *thread.Thread
+}
+
+func newPipe(from, to *net.TCPConn) *pipe {
+	return &pipe{from: from, to: to, released: ring.New[bool]("released", releaseSlots)}
+}
+
+func (p *pipe) start() {
+	p.thread = thread.Start("pipe", p.run)
+}
+
+// hold makes the present and the next read fail, so that the duty parks.
+func (p *pipe) hold() {
+	// A connection that has ended needs no hold.
+	_ = p.from.SetReadDeadline(time.Unix(1, 0))
+}
+
+func (p *pipe) release() {
+	_ = p.from.SetReadDeadline(time.Time{})
+	// A full ring holds a release already.
+	_ = p.released.Offer(true)
+}
+
+func (p *pipe) close() {
+	p.released.Close()
+	_ = p.from.Close()
+	_ = p.to.Close()
+}
+
+// run is the duty. It returns when either connection has ended.
+func (p *pipe) run() error {
+	defer p.shut()
+	buffer := make([]byte, pipeBytes)
+	for {
+		n, err := p.from.Read(buffer)
+		if n > 0 {
+			if _, err := p.to.Write(buffer[:n]); err != nil {
+				return nil
+			}
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if _, err := p.released.Take(); err != nil {
+				return nil
+			}
+			continue
+		}
+		if err != nil {
+			return nil
+		}
+	}
+}
+
+// shut passes the end of the stream on.
+func (p *pipe) shut() {
+	if err := p.to.CloseWrite(); err != nil {
+		_ = p.to.Close()
+	}
+}
