--- a/proof/concurrent/history_test.go
+++ b/proof/concurrent/history_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
 	"github.com/sycamorecourse/sycamorecourse/daemon/gateway"
 	"github.com/sycamorecourse/sycamorecourse/proof/bed"
 	"github.com/sycamorecourse/sycamorecourse/proof/concurrent/callers"
@@ -113,6 +114,31 @@
 		Expect(b.Close()).To(Succeed())
 	})
 
+	It("cuts and refuses nothing while gateways stop one after another", func() {
+		b := open(bed.Config{Engines: 3, Gateways: 4, MaxRequests: 4096, Retention: time.Minute, Engine: engine.Config{TokenTime: time.Millisecond}})
+		config := load(300, b.Seeds())
+		config.SharedEvery = 0
+		config.HastyEvery = 0
+		config.MaxTries = 0
+		config.Requests = 0
+		group := callers.Start(config)
+		pause := ring.New[bool]("pause", 1)
+		for i, g := range b.Gateways[:3] {
+			_, _, _ = pause.TakeUntil(300 * time.Millisecond)
+			for _, other := range b.Gateways[i:] {
+				Expect(other.Apply(gateway.Update{Gateways: b.Addresses()[i+1:]})).To(Succeed())
+			}
+			g.Stop()
+		}
+		_, _, _ = pause.TakeUntil(300 * time.Millisecond)
+		records, err := group.Stop()
+		Expect(err).NotTo(HaveOccurred())
+		runs := readRuns(b)
+		GinkgoWriter.Println(summary(records, runs))
+		Expect(check.History(records, runs, check.Allowed{})).To(BeEmpty())
+		Expect(b.Close()).To(Succeed())
+	})
+
 	It("breaks the rule of at most once when gateways do not share the record of attempts", func() {
 		b := open(bed.Config{Engines: 3, Gateways: 1, Engine: engine.Config{TokenTime: time.Millisecond}})
 		// This bed's gateway routes to the upstreams of the other one, but records
--- a/proof/concurrent/witness/runs.go
+++ b/proof/concurrent/witness/runs.go
@@ -21,9 +21,14 @@
 	calls    map[string]int
 }
 
+// Of makes the runs of requests whose counts are known, by CUSTOMER/KEY.
+func Of(requests map[string]int) *Runs {
+	return &Runs{requests: requests, calls: make(map[string]int)}
+}
+
 // Read asks all upstreams, engines and plain services alike.
 func Read(client *fetch.Client, upstreams []string) (*Runs, error) {
-	runs := &Runs{requests: make(map[string]int), calls: make(map[string]int)}
+	runs := Of(make(map[string]int))
 	for _, address := range upstreams {
 		body, err := client.Get(address, path)
 		if err != nil {
