Wait for the pollers before a server or client counts as open

Cause: a poller of the network library clears the request to stop when its goroutine begins. An engine that is stopped before that never ends: the poller spins and Stop waits.

--- a/edge/httpc/client.go
+++ b/edge/httpc/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/edge/pollers"
 )
 
 // Client makes calls over reused connections. Start and Cancel may be called
@@ -43,7 +44,10 @@
 		MessageHandlerPoolSize: 2,
 		SupportServerOnly:      true,
 	})
-	return c.engine.Start()
+	if err := c.engine.Start(); err != nil {
+		return err
+	}
+	return pollers.Await(c.engine.Engine)
 }
 
 // Close ends the duty and all connections; open calls fail.
--- a/edge/httpd/server.go
+++ b/edge/httpd/server.go
@@ -9,6 +9,8 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/sycamorecourse/sycamorecourse/edge/pollers"
 )
 
 // handlerPool is the number of goroutines that run decoded requests. They only
@@ -30,7 +32,8 @@
 	return &Server{config: config.withDefaults(), handler: handler}
 }
 
-// Open listens and serves until Close. It fails with a *ListenError.
+// Open listens and serves until Close. It fails with a *ListenError or a
+// *pollers.StartError.
 func (s *Server) Open() error {
 	ln, err := net.Listen("tcp", s.config.Address)
 	if err != nil {
@@ -57,7 +60,7 @@
 	if err := s.engine.Start(); err != nil {
 		return &ListenError{Address: s.config.Address, Err: err}
 	}
-	return nil
+	return pollers.Await(s.engine.Engine)
 }
 
 // orderAccepts makes what the listener's thread wrote of a new connection
--- /dev/null
+++ b/edge/pollers/doc.go
@@ -0,0 +1,2 @@
+// Package pollers waits until the pollers of the network library run.
+package pollers
