--- a/ctl/command/standin.go
+++ b/ctl/command/standin.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"flag"
+	"io"
 	"os"
 	"os/signal"
 
@@ -20,6 +21,9 @@
 // Standin runs stand-ins of the platform until a signal ends it. The zero
 // value works.
 type Standin struct {
+	// Output gets the addresses; nil is the standard output.
+	Output io.Writer
+
 	settings StandinSettings
 	set      *settings.Set
 }
@@ -56,7 +60,7 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, unix.SIGTERM, unix.SIGINT)
 	defer stop()
-	if err := run(ctx, s.settings.config(), log); err != nil {
+	if err := s.run(ctx, log); err != nil {
 		log.Error().Err(err).Msg("standin_failed")
 		return subcommands.ExitFailure
 	}
@@ -64,18 +68,25 @@
 }
 
 // run runs a site until the context ends.
-func run(ctx context.Context, config site.Config, log zerolog.Logger) error {
-	s, err := site.Start(config)
+func (s *Standin) run(ctx context.Context, log zerolog.Logger) error {
+	running, err := site.Start(s.settings.config())
 	if err != nil {
 		return err
 	}
-	if err := json.NewEncoder(os.Stdout).Encode(s.Addresses()); err != nil {
-		_ = s.Stop()
+	if err := json.NewEncoder(s.output()).Encode(running.Addresses()); err != nil {
+		_ = running.Stop()
 		return err
 	}
-	log.Info().Int("instances", len(s.Addresses().Instances)).Msg("standin_ready")
+	log.Info().Int("instances", len(running.Addresses().Instances)).Msg("standin_ready")
 	<-ctx.Done()
-	err = s.Stop()
+	err = running.Stop()
 	log.Info().Msg("standin_ended")
 	return err
 }
+
+func (s *Standin) output() io.Writer {
+	if s.Output == nil {
+		return os.Stdout
+	}
+	return s.Output
+}
