controller: links to the other processes; slices that belong to the lease

Cause: a confirmation was answered without knowing who has it; after the death of a holder no instance was started for 13 s more than the lease took, until its slices had come back; an ended instance could cut a long call to a service. Change: the planner publishes through the follow duty and answers a confirmation when every live process has the version, or says which has not. The slices are granted to the fleet lease, so its next holder takes them over at once. A drain lasts for the longest call of the pool's services.

--- a/daemon/controller/alone.go
+++ b/daemon/controller/alone.go
@@ -1,18 +1,26 @@
 package controller
 
 import (
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
 	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
 	"github.com/sycamorecourse/sycamorecourse/serving/intent"
+	"github.com/sycamorecourse/sycamorecourse/serving/spread"
 )
 
-// alone is followers and publisher for a controller without links.
-type alone struct{}
+// alone is followers for a controller without links.
+type alone struct {
+	self string
+}
 
 // PublishConfiguration implements followers.
-func (alone) PublishConfiguration(*intent.Configuration) {}
+func (alone) PublishConfiguration(*intent.Configuration) error { return nil }
 
-// AskVersions implements followers.
-func (alone) AskVersions() {}
+// PublishFleet implements followers.
+func (alone) PublishFleet(uint64, []fleet.Instance, []string) error { return nil }
 
-// PublishFleet implements publisher.
-func (alone) PublishFleet(uint64, []fleet.Instance, []string) {}
+// Await implements followers.
+func (a alone) Await(version uint64, _ time.Duration, reply *ring.Ring[spread.Progress]) error {
+	return reply.Offer(spread.Progress{Version: version, Holders: []string{a.self}})
+}
--- a/daemon/controller/budgets.go
+++ b/daemon/controller/budgets.go
@@ -13,30 +13,29 @@
 	memberBudgetPrefix = "budget/"
 )
 
+// budgetHolder holds the slices. It is the lease and not the process: the next
+// holder of the lease takes the same grants over at once. The former one can
+// spend nothing more, as it can't write a ledger any more.
+var budgetHolder = lease.Holder{Instance: fleetLease, Incarnation: 1}
+
 // budgets are the slices of the agreed amounts that the fleet duty holds while
 // it holds the fleet lease. Without a slice nothing is bought.
 type budgets struct {
-	holder    lease.Holder
-	run       func(stepMachine) *stepRunner
-	slices    map[string]*heldSlice
-	releasing bool
+	run    func(stepMachine) *stepRunner
+	slices map[string]*heldSlice
 }
 
-func newBudgets(holder lease.Holder, run func(stepMachine) *stepRunner) *budgets {
-	return &budgets{holder: holder, run: run, slices: make(map[string]*heldSlice)}
+func newBudgets(run func(stepMachine) *stepRunner) *budgets {
+	return &budgets{run: run, slices: make(map[string]*heldSlice)}
 }
 
 // hold asks for the slices of a configuration and renews them. Spent holds what
 // is already paid for, by the names of the limits.
 func (b *budgets) hold(c *intent.Configuration, spent map[string]uint64) {
-	if b.releasing {
-		b.giveBack()
-		return
-	}
 	for _, limit := range limitsOf(c) {
 		s := b.slices[limit.Name]
 		if s == nil {
-			slice := quota.New(limit, lease.DefaultConfig(), b.holder)
+			slice := quota.New(limit, lease.DefaultConfig(), budgetHolder)
 			s = &heldSlice{stepRunner: b.run(slice), slice: slice}
 			b.slices[limit.Name] = s
 		}
@@ -46,19 +45,12 @@
 	}
 }
 
-// giveBack releases all slices; it is called until none is left.
-func (b *budgets) giveBack() {
-	for name, s := range b.slices {
-		if !b.releasing {
-			s.release()
-		} else {
-			s.step()
-		}
-		if s.ended {
-			delete(b.slices, name)
-		}
+// drop forgets the slices after the loss of the lease.
+func (b *budgets) drop() {
+	for _, s := range b.slices {
+		s.ended = true
 	}
-	b.releasing = len(b.slices) > 0
+	clear(b.slices)
 }
 
 // mayBuy reports whether an amount may be spent for a member beside what is
--- a/daemon/controller/counters.go
+++ b/daemon/controller/counters.go
@@ -7,7 +7,6 @@
 	plans     prometheus.Counter
 	confirmed prometheus.Counter
 	refused   prometheus.Counter
-	version   prometheus.Gauge
 	started   prometheus.Counter
 	ended     prometheus.Counter
 	rejected  prometheus.Counter
@@ -21,7 +20,6 @@
 		plans:     counter("sycamore_plans_total", "Plans made."),
 		confirmed: counter("sycamore_confirmations_total", "Confirmations answered as confirmed."),
 		refused:   counter("sycamore_confirmations_failed_total", "Confirmations that failed."),
-		version:   gauge("sycamore_configuration_version", "Version of the configuration in force."),
 		started:   counter("sycamore_instance_starts_total", "Instances started."),
 		ended:     counter("sycamore_instance_ends_total", "Instances ended."),
 		rejected:  counter("sycamore_instance_starts_refused_total", "Starts of instances that the cloud refused."),
@@ -29,7 +27,7 @@
 		orders:    counter("sycamore_orders_total", "Orders sent to engines."),
 		cost:      gauge("sycamore_fleet_micros_per_hour", "Price of all instances an hour, in millionths."),
 	}
-	registry.MustRegister(c.plans, c.confirmed, c.refused, c.version, c.started, c.ended, c.rejected, c.reclaims, c.orders, c.cost)
+	registry.MustRegister(c.plans, c.confirmed, c.refused, c.started, c.ended, c.rejected, c.reclaims, c.orders, c.cost)
 	return c
 }
 
--- a/daemon/controller/fleet_report.go
+++ b/daemon/controller/fleet_report.go
@@ -7,6 +7,7 @@
 	"github.com/sycamorecourse/sycamorecourse/edge/operator"
 	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
 	"github.com/sycamorecourse/sycamorecourse/serving/intent"
+	"github.com/sycamorecourse/sycamorecourse/serving/price"
 )
 
 // report passes on what is known: to the gateways at once, while the lease is
@@ -26,7 +27,7 @@
 	_ = f.planner.Offer(plannerEvent{fleet: &fleetNews{
 		version:   f.configuration.Version,
 		instances: instances,
-		prices:    f.prices,
+		prices:    f.knownPrices(),
 		pools:     f.poolStatus(instances),
 		leases:    f.leaseStatus(),
 	}})
@@ -34,6 +35,14 @@
 	f.counters.cost.Set(float64(costOf(instances)))
 }
 
+// knownPrices returns the prices once the list was read too: a plan needs both.
+func (f *fleetDuty) knownPrices() price.List {
+	if !f.listed {
+		return nil
+	}
+	return f.prices
+}
+
 func costOf(instances []fleet.Instance) (micros int64) {
 	for _, i := range instances {
 		micros += i.MicrosPerHour
@@ -64,8 +73,12 @@
 			removed = append(removed, id)
 		}
 	}
-	if len(upserts)+len(removed) > 0 {
-		f.publish.PublishFleet(epoch, upserts, removed)
+	if len(upserts)+len(removed) == 0 {
+		return
+	}
+	if f.followers.PublishFleet(epoch, upserts, removed) != nil {
+		// All is published again at the next step.
+		f.published = nil
 	}
 }
 
--- a/daemon/controller/fleet_test.go
+++ b/daemon/controller/fleet_test.go
@@ -61,7 +61,7 @@
 	f := newFleetDuty(settings, zerolog.Nop(), w.table, w.cloud, holder, w.clock, w.now)
 	f.planner = ring.New[plannerEvent]("planner", 1)
 	f.orders = ring.New[ordersEvent]("orders", 1)
-	f.publish = alone{}
+	f.followers = alone{}
 	f.counters = newCounters(prometheus.NewRegistry())
 	f.configure(w.configuration)
 	return f
@@ -143,7 +143,7 @@
 		w.settle(f)
 		w.configuration = &intent.Configuration{Version: 2, TotalMicrosPerHour: agreed}
 		f.configure(w.configuration)
-		for range int(endDrain/time.Second) - 1 {
+		for range int(minDrain/time.Second) - 1 {
 			w.clock.Advance(time.Second)
 			tick(f)
 		}
--- a/daemon/controller/member_pool.go
+++ b/daemon/controller/member_pool.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"time"
+
 	"github.com/sycamorecourse/sycamorecourse/coord/row"
 	"github.com/sycamorecourse/sycamorecourse/serving/intent"
 )
@@ -23,3 +25,26 @@
 	}
 	return pools
 }
+
+const (
+	// minDrain is the shortest time without new work before an instance is
+	// ended by plan. Gateways move requests off an engine within it.
+	minDrain = 60 * time.Second
+	// drainMargin is the time for the news to reach all gateways.
+	drainMargin = 10 * time.Second
+	// maxDrain is the drain of a pool of which nothing is known any more: no
+	// call takes longer.
+	maxDrain = 10*time.Minute + drainMargin
+)
+
+// drain returns how long an instance of the pool takes no new work before it is
+// ended by plan, so that no call to a plain service is cut off.
+func (p *memberPool) drain() time.Duration {
+	drain := minDrain
+	for _, s := range p.document.Services {
+		if s.Pool == p.pool.Name {
+			drain = max(drain, time.Duration(s.TimeoutMillis)*time.Millisecond+drainMargin)
+		}
+	}
+	return drain
+}
--- a/daemon/controller/open.go
+++ b/daemon/controller/open.go
@@ -28,6 +28,12 @@
 	c := New(s, log, platform, release)
 	c.platform = http
 	c.report.AddRing(http.Stats)
+	if s.LinkAddress != "" {
+		if err := c.Link(); err != nil {
+			http.Close()
+			return nil, err
+		}
+	}
 	if err := c.Open(); err != nil {
 		http.Close()
 		return nil, err
--- a/daemon/controller/planner.go
+++ b/daemon/controller/planner.go
@@ -12,6 +12,7 @@
 	"github.com/sycamorecourse/sycamorecourse/edge/operator"
 	"github.com/sycamorecourse/sycamorecourse/serving/intent"
 	"github.com/sycamorecourse/sycamorecourse/serving/plan"
+	"github.com/sycamorecourse/sycamorecourse/serving/spread"
 )
 
 const (
@@ -37,21 +38,26 @@
 	settings   *Settings
 	counters   *counters
 
+	// rollout takes the answers of the followers.
+	rollout *ring.Ring[spread.Progress]
+
 	head      plan.Head
+	published uint64
 	fleet     fleetNews
-	processes []operator.Process
+	processes *processes
 	commands  map[uint64]*command
 	waiters   []waiter
 }
 
 func newPlanner(s *Settings, log zerolog.Logger, clk clock.Clock, now func() time.Time) *planner {
 	return &planner{
-		log:      log,
-		inbox:    ring.New[plannerEvent]("planner", plannerCapacity),
-		clock:    clk,
-		now:      now,
-		settings: s,
-		commands: make(map[uint64]*command),
+		log:       log,
+		inbox:     ring.New[plannerEvent]("planner", plannerCapacity),
+		clock:     clk,
+		now:       now,
+		settings:  s,
+		processes: newProcesses(),
+		commands:  make(map[uint64]*command),
 	}
 }
 
@@ -76,9 +82,11 @@
 		p.stored(e.result)
 	case e.fleet != nil:
 		p.fleet = *e.fleet
-		p.tellFleet()
+		p.publish()
 	case e.processes != nil:
-		p.processes = e.processes.processes
+		p.processes.set(e.processes.members)
+	case e.progress != nil:
+		p.progressed(e.progress)
 	case e.dump != nil:
 		_ = e.dump.Offer(report.Section{Name: "planner", State: p.dump()})
 	}
@@ -156,21 +164,10 @@
 		return
 	}
 	p.head = *head
-	p.followers.PublishConfiguration(&p.head.Configuration)
-	p.tellFleet()
-	p.counters.version.Set(float64(head.Configuration.Version))
+	p.publish()
 	p.log.Info().Uint64("version", head.Configuration.Version).Str("plan", head.Configuration.Plan).Msg("configuration_in_force")
 }
 
-// tellFleet passes the configuration on to the fleet duty unless it has it. If
-// the ring is full, the next news from that duty leads here again.
-func (p *planner) tellFleet() {
-	if p.fleet.version < p.head.Configuration.Version {
-		configuration := p.head.Configuration
-		_ = p.fleetInbox.Offer(fleetEvent{configuration: &configuration})
-	}
-}
-
 func (p *planner) headLoaded(c *command, head *plan.Head) {
 	if c.Kind == operator.ShowIntent {
 		p.answer(answer{ticket: c.ticket, status: http.StatusOK, body: head})
@@ -192,69 +189,11 @@
 	p.ask(c, &storeRequest{kind: savePlan, ticket: c.ticket, plan: made})
 }
 
-// confirmed keeps the answer back until all processes have the version.
-func (p *planner) confirmed(c *command, confirmation *plan.Confirmation) {
-	p.counters.confirmed.Inc()
-	p.log.Info().Str("plan", c.Plan).Str("operator", confirmation.By).Uint64("version", confirmation.Version).Msg("plan_confirmed")
-	w := waiter{ticket: c.ticket, confirmation: *confirmation, deadline: p.clock.Now().Add(c.Wait)}
-	p.waiters = append(p.waiters, w)
-	p.followers.AskVersions()
-}
-
-// checkWaiters answers the confirmations that have nothing left to wait for.
-func (p *planner) checkWaiters() {
-	now := p.clock.Now()
-	kept := p.waiters[:0]
-	for _, w := range p.waiters {
-		pending := p.pending(w.confirmation.Version)
-		if len(pending) > 0 && w.deadline.After(now) {
-			kept = append(kept, w)
-			continue
-		}
-		p.answer(answer{ticket: w.ticket, status: http.StatusOK, body: operator.Confirmed{
-			Confirmation: w.confirmation,
-			Everywhere:   len(pending) == 0,
-			Pending:      pending,
-		}})
-	}
-	p.waiters = kept
-}
-
-// pending lists the processes that have not reported a version or a later one.
-func (p *planner) pending(version uint64) []operator.Process {
-	list := []operator.Process{}
-	for _, process := range p.everyProcess() {
-		if process.Version < version {
-			list = append(list, process)
-		}
-	}
-	return list
-}
-
-// everyProcess lists this process and those that reported.
-func (p *planner) everyProcess() []operator.Process {
-	own := operator.Process{
-		Instance:      p.settings.Instance,
-		Role:          Role,
-		FailureDomain: p.settings.FailureDomain,
-		Version:       p.head.Configuration.Version,
-	}
-	return append([]operator.Process{own}, p.processes...)
-}
-
-func (p *planner) nextDeadline() time.Duration {
-	wait := idleWait
-	for _, w := range p.waiters {
-		wait = min(wait, w.deadline.Sub(p.clock.Now()))
-	}
-	return max(wait, 0)
-}
-
 func (p *planner) status() operator.Status {
 	return operator.Status{
 		Controller: p.settings.Instance,
 		Version:    p.head.Configuration.Version,
-		Processes:  p.everyProcess(),
+		Processes:  p.processes.list(),
 		Pools:      append([]operator.PoolStatus{}, p.fleet.pools...),
 		Leases:     append([]operator.LeaseStatus{}, p.fleet.leases...),
 	}
@@ -273,7 +212,7 @@
 		Waiters:   len(p.waiters),
 		Prices:    len(p.fleet.prices),
 		Instances: len(p.fleet.instances),
-		Processes: p.everyProcess(),
+		Processes: p.processes.list(),
 	}
 }
 
--- a/daemon/controller/planner_event.go
+++ b/daemon/controller/planner_event.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
 	"github.com/sycamorecourse/sycamorecourse/daemon/report"
+	"github.com/sycamorecourse/sycamorecourse/serving/spread"
 )
 
 // plannerEvent is a message to the planner duty: one of its fields is set.
@@ -11,5 +12,6 @@
 	result    *storeResult
 	fleet     *fleetNews
 	processes *processNews
+	progress  *spread.Progress
 	dump      *ring.Ring[report.Section]
 }
--- a/daemon/controller/pool_keeper.go
+++ b/daemon/controller/pool_keeper.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/coord/row"
 	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
@@ -13,13 +11,8 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/place"
 )
 
-const (
-	// callRetry is the time from a call of unknown outcome to the next try.
-	callRetry = 2 * time.Second
-	// endDrain is how long an instance that is ended by plan takes no new work
-	// before it is ended.
-	endDrain = 60 * time.Second
-)
+// callRetry is the time from a call of unknown outcome to the next try.
+const callRetry = 2 * time.Second
 
 // poolKeeper brings one pool to its target. It owns the pool's ledger: what was
 // saved, and the outcomes since. Calls are made only for what was saved.
@@ -36,6 +29,8 @@
 	writing bool
 	stale   bool
 	target  place.Target
+	// drain is how long instances drain, as last known.
+	drain time.Duration
 	// unsettled is the ledger of a write that is under way or has an unknown
 	// outcome. It is settled when a write succeeds or the row has changed.
 	unsettled *place.Ledger
@@ -47,6 +42,7 @@
 		member:  member,
 		pool:    pool,
 		saved:   &place.Ledger{},
+		drain:   maxDrain,
 		open:    make(map[string]bool),
 		retryAt: make(map[string]clock.Instant),
 	}
@@ -91,12 +87,16 @@
 	}
 }
 
-// step makes the calls and the write that are due. Pool is nil if the
+// step makes the calls and the write that are due. Wanted is nil if the
 // configuration no longer has the pool.
-func (k *poolKeeper) step(pool *intent.Pool) {
+func (k *poolKeeper) step(wanted *memberPool) {
 	if k.writing {
 		return
 	}
+	var pool *intent.Pool
+	if wanted != nil {
+		pool, k.drain = wanted.pool, wanted.drain()
+	}
 	if k.stale {
 		k.reload()
 		return
@@ -145,171 +145,13 @@
 	if i, ok := k.fleet.view.Find(id); ok && i.State == fleet.Starting {
 		return 0
 	}
-	return endDrain
+	return k.drain
 }
 
 func (k *poolKeeper) instances() []fleet.Instance {
 	return k.fleet.instancesOf(k.member, k.pool)
 }
 
-// carryOut calls the cloud for what the saved ledger orders.
-func (k *poolKeeper) carryOut() {
-	for _, h := range k.saved.Ordered() {
-		k.start(h)
-	}
-	for _, h := range k.saved.Ending() {
-		k.fleet.view.Leave(h.Instance, h.EndAt)
-	}
-	for _, h := range k.saved.Due(k.fleet.now()) {
-		k.end(h)
-	}
-}
-
-// mayCall reports whether a call may be made now, and notes it.
-func (k *poolKeeper) mayCall(name string) bool {
-	now := k.fleet.clock.Now()
-	if k.open[name] || now.Before(k.retryAt[name]) || !k.fleet.lease.grant().isValid(now) {
-		return false
-	}
-	k.open[name] = true
-	return true
-}
-
-// again lets a call be made later whose outcome is unknown.
-func (k *poolKeeper) again(name string) {
-	delete(k.open, name)
-	k.retryAt[name] = k.fleet.clock.Now().Add(callRetry)
-}
-
-func (k *poolKeeper) start(h place.Holding) {
-	if !k.mayCall(h.Token) {
-		return
-	}
-	request := StartRequest{Token: h.Token, Member: k.member, Pool: k.pool, Option: h.Option}
-	err := k.fleet.calls.begin(func(resume func(func())) {
-		k.fleet.cloud.Start(request, func(i fleet.Instance, err error) {
-			resume(func() { k.started(h, i, err) })
-		})
-	})
-	if err != nil {
-		k.again(h.Token)
-	}
-}
-
-func (k *poolKeeper) started(h place.Holding, i fleet.Instance, err error) {
-	f := k.fleet
-	var refused *StartRefusedError
-	switch {
-	case err == nil:
-		f.counters.started.Inc()
-		f.backoff.Succeed(h.Option)
-		f.view.Start(i, f.clock.Now())
-		k.outcomes = append(k.outcomes, outcome{token: h.Token, instance: i.ID})
-		f.log.Info().Str("instance", i.ID).Str("pool", k.pool).Str("failure_domain", h.FailureDomain).
-			Str("class", h.MachineClass).Bool("reclaimable", h.Reclaimable).Msg("instance_started")
-	case errors.As(err, &refused):
-		f.counters.rejected.Inc()
-		f.backoff.Refuse(h.Option, f.clock.Now())
-		k.outcomes = append(k.outcomes, outcome{token: h.Token})
-		f.log.Warn().Str("pool", k.pool).Str("failure_domain", h.FailureDomain).Str("class", h.MachineClass).
-			Bool("reclaimable", h.Reclaimable).Str("cause", err.Error()).Msg("start_refused")
-	default:
-		k.again(h.Token)
-	}
-}
-
-func (k *poolKeeper) end(h place.Holding) {
-	if !k.mayCall(h.Instance) {
-		return
-	}
-	err := k.fleet.calls.begin(func(resume func(func())) {
-		k.fleet.cloud.End(h.Instance, func(err error) {
-			resume(func() { k.hasEnded(h, err) })
-		})
-	})
-	if err != nil {
-		k.again(h.Instance)
-	}
-}
-
-func (k *poolKeeper) hasEnded(h place.Holding, err error) {
-	if err != nil {
-		k.again(h.Instance)
-		return
-	}
-	k.fleet.counters.ended.Inc()
-	k.fleet.view.End(h.Instance)
-	k.outcomes = append(k.outcomes, outcome{instance: h.Instance, ended: true})
-	k.fleet.log.Info().Str("instance", h.Instance).Str("pool", k.pool).Msg("instance_ended")
-}
-
-// save writes a ledger that differs from the saved one.
-func (k *poolKeeper) save(draft *place.Ledger) {
-	if (draft.Equal(k.saved) && k.unsettled == nil) || !k.fleet.lease.grant().isValid(k.fleet.clock.Now()) {
-		return
-	}
-	// A ledger holds only text, numbers and times, which always encode.
-	value, _ := json.Marshal(draft)
-	changes := []row.Change{
-		{Key: k.key(), Expect: k.version, Value: value},
-		{Key: fenceKey(), Expect: k.fleet.fenceVersion, Check: true},
-	}
-	noted := len(k.outcomes)
-	k.writing, k.unsettled = true, dearer(k.unsettled, draft)
-	err := k.fleet.calls.begin(func(resume func(func())) {
-		k.fleet.table.Write(row.Transaction{Changes: changes}, func(err error) {
-			resume(func() { k.written(draft, noted, err) })
-		})
-	})
-	if err != nil {
-		k.writing = false
-	}
-}
-
-func (k *poolKeeper) written(draft *place.Ledger, noted int, err error) {
-	k.writing = false
-	var away *row.UnavailableError
-	var conflict *row.ConflictError
-	switch {
-	case err == nil:
-		k.version++
-		k.saved, k.unsettled = draft, nil
-		for _, o := range k.outcomes[:noted] {
-			delete(k.open, o.token)
-			delete(k.open, o.instance)
-		}
-		k.outcomes = k.outcomes[noted:]
-		k.fleet.wake()
-	case errors.As(err, &away):
-		// Nothing was written: the next step tries again.
-	case errors.As(err, &conflict) && conflict.Key == fenceKey():
-		// Another controller has acquired the lease.
-		k.fleet.ledgersOf = 0
-	default:
-		// The outcome is unknown, or an earlier write has taken effect.
-		k.stale = true
-	}
-}
-
-// reload reads the ledger again.
-func (k *poolKeeper) reload() {
-	k.writing = true
-	err := k.fleet.calls.begin(func(resume func(func())) {
-		k.fleet.table.Read(k.key(), func(r row.Row, err error) {
-			resume(func() {
-				k.writing = false
-				if err == nil {
-					err = k.take(r)
-				}
-				k.stale = err != nil
-			})
-		})
-	})
-	if err != nil {
-		k.writing = false
-	}
-}
-
 // cost returns what the pool costs an hour at most, whatever became of its last
 // write.
 func (k *poolKeeper) cost() int64 {
--- a/daemon/controller/process_news.go
+++ b/daemon/controller/process_news.go
@@ -1,8 +1,8 @@
 package controller
 
-import "github.com/sycamorecourse/sycamorecourse/edge/operator"
+import "github.com/sycamorecourse/sycamorecourse/serving/spread"
 
-// processNews lists the live processes and the versions they reported.
+// processNews lists the processes of the system.
 type processNews struct {
-	processes []operator.Process
+	members []spread.Member
 }
--- a/daemon/controller/step_runner.go
+++ b/daemon/controller/step_runner.go
@@ -39,6 +39,9 @@
 }
 
 func (r *stepRunner) do(step lease.Step) {
+	if r.ended {
+		return
+	}
 	switch s := step.(type) {
 	case lease.Read:
 		r.read(s.Key)
--- a/daemon/controller/waiter.go
+++ b/daemon/controller/waiter.go
@@ -9,5 +9,8 @@
 type waiter struct {
 	ticket       uint64
 	confirmation plan.Confirmation
-	deadline     clock.Instant
+	// deadline is when the wait is over.
+	deadline clock.Instant
+	// missing are the processes without the version as last known.
+	missing []string
 }
