--- a/standin/host/call.go
+++ b/standin/host/call.go
@@ -121,8 +121,7 @@
 // act does one step of the answer, unless the call has ended, or later while
 // answers are frozen.
 func (c *Call) act(step func()) {
-	if c.host.faults.Freeze && !c.exempt {
-		c.host.held = append(c.host.held, func() { c.act(step) })
+	if !c.exempt && c.host.switches.hold(func() { c.act(step) }) {
 		return
 	}
 	if c.ended {
--- a/standin/host/host.go
+++ b/standin/host/host.go
@@ -1,8 +1,6 @@
 package host
 
 import (
-	"encoding/json"
-	"net/http"
 	"strings"
 	"time"
 
@@ -27,9 +25,7 @@
 	behavior Behavior
 	timers   timers
 	calls    map[*httpd.Exchange]*Call
-	faults   Faults
-	throttle *Bucket
-	held     []func()
+	switches *switches
 }
 
 // New makes a host; Open starts its server.
@@ -43,7 +39,7 @@
 	if h.clock == nil {
 		h.clock = clock.System{}
 	}
-	h.throttle = NewBucket(0, h.Now())
+	h.switches = newSwitches(h)
 	h.server = httpd.New(httpd.Config{
 		Address:      config.Address,
 		Pollers:      pollers,
@@ -79,7 +75,7 @@
 func (h *Host) Now() clock.Instant { return h.clock.Now() }
 
 // Faults returns the fault switches.
-func (h *Host) Faults() Faults { return h.faults }
+func (h *Host) Faults() Faults { return h.switches.faults }
 
 // Serve implements httpd.Handler.
 func (h *Host) Serve(x *httpd.Exchange) {
@@ -139,43 +135,11 @@
 	h.calls[x] = c
 	switch {
 	case x.Path == faultsPath:
-		h.switchFaults(c)
+		h.switches.serve(c)
 	case c.exempt:
 		h.behavior.Serve(c)
-	case h.faults.SlowMillis > 0:
-		h.After(time.Duration(h.faults.SlowMillis)*time.Millisecond, func() { h.admit(c) })
 	default:
-		h.admit(c)
-	}
-}
-
-// admit applies the switches that keep a call from being served.
-func (h *Host) admit(c *Call) {
-	switch {
-	case h.faults.Down:
-		h.outage(c)
-	case h.faults.LoseRequests > 0:
-		h.faults.LoseRequests--
-		c.Abort()
-	case !h.throttle.Take(1, h.Now()):
-		h.behavior.Refuse(c, Throttled)
-	default:
-		if h.faults.LoseAnswers > 0 {
-			h.faults.LoseAnswers--
-			c.loseAnswer = true
-		}
-		h.behavior.Serve(c)
-	}
-}
-
-func (h *Host) outage(c *Call) {
-	switch h.faults.Mode {
-	case ModeCut:
-		c.Abort()
-	case ModeError:
-		h.behavior.Refuse(c, Failing)
-	default:
-		h.behavior.Refuse(c, Down)
+		h.switches.receive(c)
 	}
 }
 
@@ -187,30 +151,3 @@
 	c.end()
 	h.behavior.Gone(c)
 }
-
-func (h *Host) switchFaults(c *Call) {
-	if c.Method == http.MethodPost {
-		var faults Faults
-		if err := json.Unmarshal(c.Body, &faults); err != nil || !faults.isValid() {
-			c.Fail(http.StatusBadRequest, FailureInvalid, "not a valid set of faults")
-			return
-		}
-		h.SetFaults(faults)
-	}
-	c.ReplyJSON(http.StatusOK, h.faults)
-}
-
-// SetFaults replaces the fault switches. Answers held so far are sent when
-// Freeze is unset.
-func (h *Host) SetFaults(faults Faults) {
-	h.faults = faults
-	h.throttle = NewBucket(faults.ThrottlePerSecond, h.Now())
-	if faults.Freeze {
-		return
-	}
-	held := h.held
-	h.held = nil
-	for _, step := range held {
-		step()
-	}
-}
