link: plan of the attempts to connect in a type of its own

The digest of the members is kept up to date instead of computed for each heartbeat. A spec brings a reclaim notice to all others within 3 s while a controller is cut off.

--- a/daemon/follow/follow_test.go
+++ b/daemon/follow/follow_test.go
@@ -100,6 +100,21 @@
 		Expect(d.updates.Load() - before).To(BeNumerically("<=", 2))
 	})
 
+	It("brings a reclaim notice to all others while a controller is cut off", func() {
+		controller := c.daemons[3]
+		defer controller.close()
+		cutOff := netip.MustParseAddrPort(controller.links.Address())
+		for i, d := range c.daemons {
+			isCut := func(to netip.AddrPort) bool { return to == cutOff || i == 3 }
+			d.socket.isCut.Store(&isCut)
+		}
+		c.daemons = append(c.daemons[:3:3], c.daemons[4:]...)
+		notice := fleet.Instance{ID: "i", State: fleet.Leaving}
+		Expect(c.daemons[1].follow.PublishFleet(1, []fleet.Instance{notice}, nil)).To(Succeed())
+		_, ok := c.await(3*time.Second, func(d *daemon) bool { return d.instances.Load() == 1 })
+		Expect(ok).To(BeTrue())
+	})
+
 	It("takes a crashed process for gone, and for live once it is back", func() {
 		d := c.daemons[6]
 		address := d.links.Address()
--- a/edge/link/manager.go
+++ b/edge/link/manager.go
@@ -19,18 +19,17 @@
 	links *Links
 	// up holds the slots of the links that are up by the identity of the peer.
 	up map[string]*slot
-	// dialings holds the targets by address.
-	dialings map[string]*dialing
+	dialings *dialings
 }
 
 func newManager(l *Links) *manager {
-	return &manager{links: l, up: make(map[string]*slot), dialings: make(map[string]*dialing)}
+	return &manager{links: l, up: make(map[string]*slot), dialings: newDialings(&l.config)}
 }
 
 // run is the links duty.
 func (m *manager) run() error {
 	for {
-		e, ok, err := m.links.inbox.TakeUntil(m.wait(time.Now()))
+		e, ok, err := m.links.inbox.TakeUntil(m.dialings.wait(time.Now(), m.isLinked))
 		if err != nil {
 			m.closeAll()
 			return nil
@@ -38,7 +37,7 @@
 		if ok {
 			m.handle(e)
 		}
-		m.dialDue(time.Now())
+		m.dialings.start(time.Now(), m.isLinked, m.offerDial)
 	}
 }
 
@@ -61,17 +60,6 @@
 	}
 }
 
-// wait returns the time until the next attempt to connect is due.
-func (m *manager) wait(now time.Time) time.Duration {
-	wait := idleWait
-	for _, d := range m.dialings {
-		if !d.busy && !m.isLinked(d.target) {
-			wait = min(wait, d.due.Sub(now))
-		}
-	}
-	return max(wait, 0)
-}
-
 func (m *manager) isLinked(t Target) bool {
 	if t.ID != "" {
 		return m.up[t.ID] != nil
@@ -84,17 +72,6 @@
 	return false
 }
 
-// dialDue hands the targets whose time has come to the dial duties.
-func (m *manager) dialDue(now time.Time) {
-	for _, d := range m.dialings {
-		if d.busy || d.due.After(now) || m.isLinked(d.target) {
-			continue
-		}
-		d.busy = m.offerDial(d.target)
-		d.due = now.Add(m.links.config.RetryBase)
-	}
-}
-
 // offerDial gives a target to the dial duty with the fewest waiting. It returns
 // false when the rings of all are full.
 func (m *manager) offerDial(t Target) bool {
@@ -108,24 +85,16 @@
 	if e.err != nil {
 		m.links.counts.dialsFailed.Inc()
 		m.links.config.Log.Debug().Str("peer", e.target.ID).Err(e.err).Msg("link_dial_failed")
-		m.retry(e.target)
+		m.dialings.failed(e.target)
 		return
 	}
-	if _, ok := m.dialings[e.target.Address]; !ok {
+	if !m.dialings.has(e.target.Address) {
 		_ = e.conn.CloseWithError(codeReleased, "")
 		return
 	}
 	m.begin(&session{conn: e.conn, dialed: &e.target})
 }
 
-// retry plans the next attempt to connect to a target.
-func (m *manager) retry(t Target) {
-	if d, ok := m.dialings[t.Address]; ok {
-		d.busy = false
-		d.due = time.Now().Add(d.backoff.next())
-	}
-}
-
 // begin gives a connection a slot and starts its handshake.
 func (m *manager) begin(s *session) {
 	for _, free := range m.links.slots {
@@ -143,7 +112,7 @@
 	m.links.config.Log.Warn().Str("address", s.address()).Err(err).Msg("link_refused")
 	m.closeConn(s.conn, err)
 	if s.dialed != nil {
-		m.retry(*s.dialed)
+		m.dialings.failed(*s.dialed)
 	}
 }
 
@@ -161,7 +130,7 @@
 	}
 	m.closeConn(s.conn, e.err)
 	if s.dialed != nil {
-		m.retry(*s.dialed)
+		m.dialings.failed(*s.dialed)
 	}
 }
 
@@ -182,7 +151,7 @@
 	m.up[id] = s
 	m.publish()
 	if s.session.dialed != nil {
-		m.onTargetUp(*s.session.dialed)
+		m.dialings.succeeded(*s.session.dialed)
 	}
 	m.links.counts.links.Inc()
 	m.links.config.Log.Info().Str("peer", id).Str("address", s.session.address()).
@@ -205,14 +174,6 @@
 	return oldDialed == isLesser
 }
 
-func (m *manager) onTargetUp(t Target) {
-	if d, ok := m.dialings[t.Address]; ok {
-		d.busy = false
-		d.backoff.retries = 0
-		d.due = time.Now().Add(d.backoff.next())
-	}
-}
-
 // takeDown ends a link that is up. Its slot is free once its reader has ended.
 func (m *manager) takeDown(s *slot, err error) {
 	session := s.session
@@ -249,24 +210,9 @@
 // onTargets takes new targets and releases links that this process dialled to
 // earlier ones.
 func (m *manager) onTargets(targets []Target) {
-	wanted := make(map[string]bool, len(targets))
-	for _, t := range targets {
-		wanted[t.Address] = true
-		d, ok := m.dialings[t.Address]
-		if !ok {
-			config := &m.links.config
-			d = &dialing{backoff: backoff{base: config.RetryBase, max: config.RetryMax}}
-			m.dialings[t.Address] = d
-		}
-		d.target = t
-	}
-	for address := range m.dialings {
-		if !wanted[address] {
-			delete(m.dialings, address)
-		}
-	}
+	m.dialings.set(targets)
 	for _, s := range m.up {
-		if s.session.dialed != nil && !wanted[s.session.dialed.Address] {
+		if s.session.dialed != nil && !m.dialings.has(s.session.dialed.Address) {
 			m.takeDown(s, &ReleasedError{})
 		}
 	}
--- a/serving/spread/member_list.go
+++ b/serving/spread/member_list.go
@@ -13,6 +13,9 @@
 	members map[string]Member
 	// goneAt is when a member was learned to be gone.
 	goneAt map[string]clock.Instant
+	// digest covers the members that are not gone: those that are gone are
+	// forgotten at different times.
+	digest uint64
 }
 
 func newMemberList(self Member) *memberList {
@@ -20,6 +23,7 @@
 		self:    self.ID,
 		members: map[string]Member{self.ID: self},
 		goneAt:  make(map[string]clock.Instant),
+		digest:  self.digest(),
 	}
 }
 
@@ -49,12 +53,16 @@
 }
 
 func (l *memberList) put(now clock.Instant, m Member) {
+	if old, ok := l.members[m.ID]; ok && old.State != Gone {
+		l.digest ^= old.digest()
+	}
 	l.members[m.ID] = m
 	if m.State == Gone {
 		l.goneAt[m.ID] = now
-	} else {
-		delete(l.goneAt, m.ID)
+		return
 	}
+	l.digest ^= m.digest()
+	delete(l.goneAt, m.ID)
 }
 
 // setState changes the state of a member and returns the new entry.
@@ -75,18 +83,6 @@
 	}
 }
 
-// digest covers the members that are not gone: those that are gone are
-// forgotten at different times.
-func (l *memberList) digest() uint64 {
-	var d uint64
-	for _, m := range l.members {
-		if m.State != Gone {
-			d ^= m.digest()
-		}
-	}
-	return d
-}
-
 // all returns all members in no order.
 func (l *memberList) all() []Member {
 	out := make([]Member, 0, len(l.members))
--- a/serving/spread/node.go
+++ b/serving/spread/node.go
@@ -250,6 +250,6 @@
 		ReportVersion: n.reports.version,
 		Reported:      len(n.reports.holders),
 		Fleet:         n.fleet.position,
-		Members:       n.members.digest(),
+		Members:       n.members.digest,
 	}
 }
--- a/serving/spread/node_news.go
+++ b/serving/spread/node_news.go
@@ -16,7 +16,7 @@
 	p.last = *h
 	isFirst := !p.isSynced
 	p.isSynced = true
-	if h.Members == n.members.digest() {
+	if h.Members == n.members.digest {
 		p.memberMismatches = 0
 	} else {
 		p.memberMismatches++
