--- a/edge/link/link_test.go
+++ b/edge/link/link_test.go
@@ -160,6 +160,14 @@
 		a.next("up")
 	})
 
+	It("does not listen on all addresses without one for others to dial", func() {
+		name := keys.Name{Role: "gateway", Instance: "a"}
+		tlsConfig, err := keys.Load(keys.FilesIn(issue("a"), name), link.Protocol)
+		Expect(err).NotTo(HaveOccurred())
+		l := link.New(link.Config{Listen: "0.0.0.0:0", TLS: tlsConfig, Log: zerolog.Nop()})
+		Expect(l.Open(thread.NewGroup(l.Duties()))).To(BeAssignableToTypeOf(&link.AdvertiseError{}))
+	})
+
 	It("bounds the number of links and fills no more than the outbound ring", func() {
 		directory := issue("a", "b", "c")
 		a := start(directory, "a", func(c *link.Config) { c.MaxLinks = 1; c.OutboundSlots = 2 })
--- a/edge/link/links.go
+++ b/edge/link/links.go
@@ -55,13 +55,14 @@
 }
 
 // Open opens the socket and starts the duties in a group. It fails with a
-// *ListenError.
+// *ListenError or an *AdvertiseError.
 func (l *Links) Open(group *thread.Group) error {
 	if err := l.listen(); err != nil {
 		return err
 	}
-	if l.config.Self.LinkAddress == "" {
-		l.config.Self.LinkAddress = l.address
+	if err := l.advertise(); err != nil {
+		l.closeSocket()
+		return err
 	}
 	manager := newManager(l)
 	group.Start("links", manager.run)
@@ -165,6 +166,25 @@
 	return nil
 }
 
+// advertise makes sure that Self names the address for links.
+func (l *Links) advertise() error {
+	if l.config.Self.LinkAddress != "" {
+		return nil
+	}
+	address, ok := l.conn.LocalAddr().(*net.UDPAddr)
+	if ok && address.IP.IsUnspecified() {
+		return &AdvertiseError{Address: l.address}
+	}
+	l.config.Self.LinkAddress = l.address
+	return nil
+}
+
+func (l *Links) closeSocket() {
+	_ = l.listener.Close()
+	_ = l.transport.Close()
+	_ = l.conn.Close()
+}
+
 func (l *Links) quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:           l.config.DialTimeout,
--- a/edge/link/manager.go
+++ b/edge/link/manager.go
@@ -18,7 +18,7 @@
 type manager struct {
 	links *Links
 	// up holds the slots of the links that are up by the identity of the peer.
-	up map[string]*slot
+	up       map[string]*slot
 	dialings *dialings
 }
 
@@ -246,7 +246,5 @@
 		s.reads.Close()
 		s.writes.Close()
 	}
-	_ = m.links.listener.Close()
-	_ = m.links.transport.Close()
-	_ = m.links.conn.Close()
+	m.links.closeSocket()
 }
