--- a/daemon/follow/follow_test.go
+++ b/daemon/follow/follow_test.go
@@ -13,6 +13,7 @@
 	"github.com/sycamorecourse/sycamorecourse/daemon/follow"
 	"github.com/sycamorecourse/sycamorecourse/daemon/report"
 	"github.com/sycamorecourse/sycamorecourse/edge/keys"
+	"github.com/sycamorecourse/sycamorecourse/edge/link"
 	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
 	"github.com/sycamorecourse/sycamorecourse/serving/intent"
 	"github.com/sycamorecourse/sycamorecourse/serving/spread"
@@ -57,6 +58,10 @@
 		Expect(progress.Missing).To(BeEmpty())
 		Expect(progress.Holders).To(HaveLen(processes))
 		inForce(3)
+		sections := ring.New[report.Section]("reply", 1)
+		Expect(follow.LinksSource(c.daemons[1].links)(sections)).To(Succeed())
+		section, _, _ := sections.TakeUntil(time.Second)
+		Expect(section.State.([]link.Status)).NotTo(BeEmpty())
 		Expect(c.daemons[0].follow.Await(4, 0, reply)).To(Succeed())
 		progress, _, _ = reply.TakeUntil(time.Second)
 		Expect(progress.Missing).To(HaveLen(processes))
--- a/edge/link/event.go
+++ b/edge/link/event.go
@@ -1,7 +1,7 @@
 package link
 
 // event is what the links duty takes: accepted, dialed, introduced, ended,
-// targetsSet or dropAsked.
+// targetsSet, dropAsked or statusAsked.
 type event interface {
 	isEvent()
 }
--- a/edge/link/links.go
+++ b/edge/link/links.go
@@ -110,6 +110,12 @@
 	return l.request(dropAsked{id: id})
 }
 
+// Describe gives the state of all links to answer, on the thread of the links
+// duty: answer only offers to a ring.
+func (l *Links) Describe(answer func([]Status)) error {
+	return l.request(statusAsked{answer: answer})
+}
+
 // Address returns the address that this process listens on.
 func (l *Links) Address() string {
 	return l.address
--- a/edge/link/manager.go
+++ b/edge/link/manager.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -57,6 +58,8 @@
 		if s, ok := m.up[e.id]; ok {
 			m.takeDown(s, &UnresponsiveError{ID: e.id})
 		}
+	case statusAsked:
+		e.answer(m.status())
 	}
 }
 
@@ -218,6 +221,15 @@
 	}
 }
 
+func (m *manager) status() []Status {
+	list := make([]Status, 0, len(m.up))
+	for id, s := range m.up {
+		list = append(list, s.session.status(id))
+	}
+	slices.SortFunc(list, func(a, b Status) int { return strings.Compare(a.Peer, b.Peer) })
+	return list
+}
+
 // publish makes the present table known to Send.
 func (m *manager) publish() {
 	t := make(table, len(m.up))
--- a/edge/link/session.go
+++ b/edge/link/session.go
@@ -33,3 +33,15 @@
 func (s *session) address() string {
 	return s.conn.RemoteAddr().String()
 }
+
+// status describes a link that is up.
+func (s *session) status(id string) Status {
+	return Status{
+		Peer:        id,
+		Address:     s.address(),
+		Incarnation: s.peer.Incarnation,
+		Dialed:      s.dialed != nil,
+		UpSeconds:   int64(time.Since(s.since) / time.Second),
+		Outbound:    s.outbound.Stats(),
+	}
+}
--- a/serving/spread/node.go
+++ b/serving/spread/node.go
@@ -107,6 +107,7 @@
 	case *FleetSnapshot:
 		n.onSnapshot(now, from, m)
 	case *MemberNews:
+		n.forgetRestarted(m.Members)
 		n.takeMembers(now, n.members.merge(now, m.Members), from)
 	}
 	return n.flush()
--- a/serving/spread/node_links.go
+++ b/serving/spread/node_links.go
@@ -87,6 +87,16 @@
 	n.retarget(now)
 }
 
+// forgetRestarted drops the reports of processes that have restarted: they
+// hold nothing until they say so.
+func (n *Node) forgetRestarted(news []Member) {
+	for _, m := range news {
+		if old, ok := n.members.members[m.ID]; ok && m.Incarnation > old.Incarnation {
+			n.reports.forget(m.ID)
+		}
+	}
+}
+
 // echoExcept returns the peer that needs no copy of changed members: the one
 // that they came from, unless this node has contradicted it.
 func (n *Node) echoExcept(changed []Member, from string) string {
--- a/serving/spread/spread_test.go
+++ b/serving/spread/spread_test.go
@@ -331,6 +331,18 @@
 		w.mustAgree("back", 0, 0, 2*time.Minute)
 	})
 
+	It("takes a restarted process to hold nothing until it says so", func() {
+		w := newNetwork(failf, 5, 2)
+		w.publish(w.stations["controller/0"], 1)
+		w.mustAgree("start", 1, 0, time.Minute)
+		s := w.stations["gateway/0"]
+		entry := s.Members()[0]
+		Expect(entry.ID).To(Equal("controller/0"))
+		entry.Incarnation++
+		w.act(s, s.Receive(w.now, entry.ID, &spread.MemberNews{Members: []spread.Member{entry}}))
+		Expect(s.Progress(1).Missing).To(Equal([]string{entry.ID}))
+	})
+
 	It("refuses a change of the fleet under an old lease", func() {
 		w := newNetwork(failf, 5, 1)
 		s := w.stations["gateway/0"]
