--- a/daemon/follow/follow_test.go
+++ b/daemon/follow/follow_test.go
@@ -13,6 +13,7 @@
 	"github.com/sycamorecourse/sycamorecourse/daemon/follow"
 	"github.com/sycamorecourse/sycamorecourse/daemon/report"
 	"github.com/sycamorecourse/sycamorecourse/edge/keys"
+	"github.com/sycamorecourse/sycamorecourse/edge/link"
 	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
 	"github.com/sycamorecourse/sycamorecourse/serving/intent"
 	"github.com/sycamorecourse/sycamorecourse/serving/spread"
@@ -57,6 +58,10 @@
 		Expect(progress.Missing).To(BeEmpty())
 		Expect(progress.Holders).To(HaveLen(processes))
 		inForce(3)
+		sections := ring.New[report.Section]("reply", 1)
+		Expect(follow.LinksSource(c.daemons[1].links)(sections)).To(Succeed())
+		section, _, _ := sections.TakeUntil(time.Second)
+		Expect(section.State.([]link.Status)).NotTo(BeEmpty())
 		Expect(c.daemons[0].follow.Await(4, 0, reply)).To(Succeed())
 		progress, _, _ = reply.TakeUntil(time.Second)
 		Expect(progress.Missing).To(HaveLen(processes))
@@ -100,6 +105,21 @@
 		Expect(d.updates.Load() - before).To(BeNumerically("<=", 2))
 	})
 
+	It("brings a reclaim notice to all others while a controller is cut off", func() {
+		controller := c.daemons[3]
+		defer controller.close()
+		cutOff := netip.MustParseAddrPort(controller.links.Address())
+		for i, d := range c.daemons {
+			isCut := func(to netip.AddrPort) bool { return to == cutOff || i == 3 }
+			d.socket.isCut.Store(&isCut)
+		}
+		c.daemons = append(c.daemons[:3:3], c.daemons[4:]...)
+		notice := fleet.Instance{ID: "i", State: fleet.Leaving}
+		Expect(c.daemons[1].follow.PublishFleet(1, []fleet.Instance{notice}, nil)).To(Succeed())
+		_, ok := c.await(3*time.Second, func(d *daemon) bool { return d.instances.Load() == 1 })
+		Expect(ok).To(BeTrue())
+	})
+
 	It("takes a crashed process for gone, and for live once it is back", func() {
 		d := c.daemons[6]
 		address := d.links.Address()
