--- a/daemon/controller/controller.go
+++ b/daemon/controller/controller.go
@@ -144,7 +144,7 @@
 		return err
 	}
 	c.log.Info().Str("instance", c.settings.Instance).Str("failure_domain", c.settings.FailureDomain).
-		Str("admin", c.admin.Address()).Str("operators", c.api.Address()).Msg("controller_started")
+		Str("admin", c.admin.Address()).Str("operators", c.api.Address()).Str("link", c.linkAddress()).Msg("controller_started")
 	return nil
 }
 
--- a/daemon/controller/links.go
+++ b/daemon/controller/links.go
@@ -73,3 +73,12 @@
 	l.follow.Close()
 	l.link.Close()
 }
+
+// linkAddress returns where links are taken, known after Open; empty without
+// links.
+func (c *Controller) linkAddress() string {
+	if c.links == nil {
+		return ""
+	}
+	return c.links.link.Address()
+}
--- a/serving/spread/node_links.go
+++ b/serving/spread/node_links.go
@@ -182,7 +182,7 @@
 func (n *Node) extraTargets() []Target {
 	extra := []Target{n.probe}
 	others := n.members.present() - 1
-	if len(n.peers) == 0 || len(n.peers) < min(minLinks, others) {
+	if others == 0 || len(n.peers) < min(minLinks, others) || n.hasUnknownPeer() {
 		own := n.members.members[n.members.self].LinkAddress
 		for _, address := range n.config.Seeds {
 			if address != own {
@@ -192,3 +192,14 @@
 	}
 	return extra
 }
+
+// hasUnknownPeer reports whether a linked process has not told its membership
+// yet. Until it has, the link may be one to a seed, which must be kept.
+func (n *Node) hasUnknownPeer() bool {
+	for id := range n.peers {
+		if _, known := n.members.members[id]; !known {
+			return true
+		}
+	}
+	return false
+}
