--- a/serving/spread/node.go
+++ b/serving/spread/node.go
@@ -107,6 +107,7 @@
 	case *FleetSnapshot:
 		n.onSnapshot(now, from, m)
 	case *MemberNews:
+		n.forgetRestarted(m.Members)
 		n.takeMembers(now, n.members.merge(now, m.Members), from)
 	}
 	return n.flush()
@@ -250,6 +251,6 @@
 		ReportVersion: n.reports.version,
 		Reported:      len(n.reports.holders),
 		Fleet:         n.fleet.position,
-		Members:       n.members.digest(),
+		Members:       n.members.digest,
 	}
 }
