Eject failing replicas, with a slow return and a bound on the share of a pool

Two failures in a row or a moving share of three in ten eject a replica for 5 s, then for twice as long each time, up to 60 s. It returns by a single attempt, then by a part of the choices that rises over 10 s.

--- a/proof/bench/variant.go
+++ b/proof/bench/variant.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/sycamorecourse/sycamorecourse/serving/admit"
+	"github.com/sycamorecourse/sycamorecourse/serving/health"
 	"github.com/sycamorecourse/sycamorecourse/serving/route"
 )
 
@@ -23,6 +24,7 @@
 		{Name: "least_requests+fifo", Route: route.Config{Policy: route.LeastRequests}, Admit: arrival},
 		{Name: "least_requests", Route: route.Config{Policy: route.LeastRequests}},
 		{Name: "predicted", Route: route.Config{Policy: route.Predicted}},
+		{Name: "predicted_cached-health", Route: route.Config{Health: health.Config{Disabled: true}}},
 		{Name: "predicted_cached", Route: route.Config{Policy: route.PredictedCached}},
 		{Name: "slack", Route: route.Config{Policy: route.Slack}},
 	}
--- /dev/null
+++ b/serving/health/doc.go
@@ -0,0 +1,3 @@
+// Package health takes replicas that fail out of the choice, and lets them back
+// slowly.
+package health
--- a/serving/route/config.go
+++ b/serving/route/config.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"github.com/sycamorecourse/sycamorecourse/serving/health"
 	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
 )
 
@@ -12,6 +13,8 @@
 	Policy Policy
 	// Index bounds what is remembered of prefix caches.
 	Index prefix.IndexConfig
+	// Health holds the parameters of the ejection of failing replicas.
+	Health health.Config
 	// Rand breaks ties and draws samples; nil means a generator with a fixed
 	// seed.
 	Rand *rand.Rand
--- a/serving/route/pool.go
+++ b/serving/route/pool.go
@@ -1,5 +1,7 @@
 package route
 
+import "github.com/sycamorecourse/sycamorecourse/serving/health"
+
 // pool is a group of like upstreams.
 type pool struct {
 	members []*upstream
@@ -7,15 +9,18 @@
 	turn int
 	// slowness is the mean of its upstreams.
 	slowness ewma
+	health   *health.Group
 }
 
 func (p *pool) add(u *upstream) {
 	u.pool = p
 	u.position = len(p.members)
 	p.members = append(p.members, u)
+	p.health.Add()
 }
 
 func (p *pool) remove(u *upstream) {
+	p.health.Remove(&u.health)
 	last := len(p.members) - 1
 	moved := p.members[last]
 	p.members[u.position] = moved
--- a/serving/route/router.go
+++ b/serving/route/router.go
@@ -5,6 +5,7 @@
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
+	"github.com/sycamorecourse/sycamorecourse/serving/health"
 	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
 )
 
@@ -59,7 +60,7 @@
 	u.incarnation = u.holder
 	p := r.pools[rep.Pool]
 	if p == nil {
-		p = &pool{}
+		p = &pool{health: health.NewGroup(r.cfg.Health)}
 		r.pools[rep.Pool] = p
 	}
 	p.add(u)
@@ -137,6 +138,7 @@
 		return
 	}
 	u.start(now)
+	u.pool.health.Started(&u.health)
 	u.computing += c.uncached
 	c.computing = true
 	if r.cfg.Policy.usesCaches() {
@@ -152,6 +154,7 @@
 		return
 	}
 	r.endComputing(u, c)
+	u.pool.health.Succeeded(&u.health)
 	u.speed.observeFirstToken(after, c.ordinary)
 	u.pool.slowness.add(u.speed.slowness.value, speedWeight)
 }
@@ -176,6 +179,7 @@
 	if u := r.chosen(c); u != nil {
 		r.endComputing(u, c)
 		u.end(now)
+		u.judge(kind, now)
 	}
 }
 
--- a/serving/route/router_choose.go
+++ b/serving/route/router_choose.go
@@ -23,7 +23,7 @@
 		return Choice{}, &NoReplicaError{Pool: job.Pool, Model: job.Model}
 	}
 	r.calls++
-	s := selection{policy: r.cfg.Policy, job: &job, call: r.calls}
+	s := selection{policy: r.cfg.Policy, job: &job, rand: r.cfg.Rand, now: now, call: r.calls}
 	switch {
 	case s.policy == RoundRobin:
 		r.takeTurn(p, &s)
--- a/serving/route/selection.go
+++ b/serving/route/selection.go
@@ -1,8 +1,10 @@
 package route
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
 )
 
@@ -18,6 +20,8 @@
 type selection struct {
 	policy Policy
 	job    *Job
+	rand   *rand.Rand
+	now    clock.Instant
 	call   uint64
 	best   candidate
 	// saturated is the candidate without room that has the fewest prompt tokens
@@ -38,6 +42,9 @@
 		s.tried++
 		return
 	}
+	if !s.isHealthy(u) {
+		return
+	}
 	c := s.candidate(u)
 	if u.isSaturated(c.uncached) {
 		if s.saturated.upstream == nil || c.uncached < s.saturated.uncached {
@@ -50,6 +57,13 @@
 	}
 }
 
+// isHealthy draws whether an upstream that returns from an ejection takes part
+// in this choice. An ejected one does not.
+func (s *selection) isHealthy(u *upstream) bool {
+	weight := u.pool.health.Weight(&u.health, s.now)
+	return weight >= 1 || weight > 0 && s.rand.Float64() < weight
+}
+
 func (s *selection) candidate(u *upstream) candidate {
 	c := candidate{upstream: u, uncached: s.job.PromptTokens}
 	if u.matchedIn == s.call {
--- a/serving/route/upstream.go
+++ b/serving/route/upstream.go
@@ -5,6 +5,7 @@
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
+	"github.com/sycamorecourse/sycamorecourse/serving/health"
 	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
 )
 
@@ -38,7 +39,8 @@
 	// ownAtLoad is what own was when the report was true.
 	ownAtLoad int
 
-	speed speed
+	speed  speed
+	health health.Record
 	// matched is the number of prompt blocks held, found in the lookup of the
 	// call matchedIn of Choose.
 	matched   int
@@ -67,6 +69,16 @@
 	u.history.add(u.own, now)
 }
 
+// judge holds a failed attempt against the upstream if that is at fault.
+func (u *upstream) judge(kind FailureKind, now clock.Instant) {
+	switch kind {
+	case Broken, TimedOut:
+		u.pool.health.Failed(&u.health, now)
+	case Canceled, Refused:
+		u.pool.health.Abandoned(&u.health)
+	}
+}
+
 func (u *upstream) report(l Load, now clock.Instant) {
 	at := now.Add(-l.Age)
 	if at.Before(u.loadAt) {
