Let late requests wait for the replica that holds their prefix too

A request past its target waits while its deadline allows it, in place of going to any replica at once. Goodput counts the engines only, as plain services have room at each load.

--- a/proof/bench/capacity.go
+++ b/proof/bench/capacity.go
@@ -25,9 +25,9 @@
 	return low
 }
 
-// Goodput is the mean number of good answers a second at a load.
+// Goodput is the mean number of good answers of engines a second at a load.
 func Goodput(m Member, v Variant, load float64, seeds int) float64 {
 	results := RunSeeds(m, Scenario{Name: "goodput", Load: load}, v, seeds)
-	perSecond := func(r *Result) float64 { return float64(r.Good) / (runTime - warmUp).Seconds() }
+	perSecond := func(r *Result) float64 { return float64(r.GoodAtEngines) / (runTime - warmUp).Seconds() }
 	return figure(results, perSecond).Mean
 }
--- a/proof/bench/result.go
+++ b/proof/bench/result.go
@@ -13,6 +13,8 @@
 	Offered int
 	// Good answers met the latency target and the deadline.
 	Good int
+	// GoodAtEngines counts those of model engines.
+	GoodAtEngines int
 	// Late answers were whole but missed one of them.
 	Late int
 	// Refused requests were not run.
@@ -102,6 +104,9 @@
 		return
 	}
 	r.Good++
+	if len(j.blocks) > 0 {
+		r.GoodAtEngines++
+	}
 	r.class(j).Good++
 }
 
--- a/serving/route/selection.go
+++ b/serving/route/selection.go
@@ -16,6 +16,9 @@
 // waits for a saturated replica.
 const waitTokens = 256
 
+// lateMargin is kept before the deadline by a job that waits past its target.
+const lateMargin = time.Second
+
 // selection is the best candidate so far of one call of Choose.
 type selection struct {
 	policy Policy
@@ -112,14 +115,25 @@
 }
 
 // waits reports whether the job is to wait for a saturated replica that holds
-// more of its prompt than the best one with room. It waits while its latency
-// target can still be met by the best one.
+// more of its prompt than the best one with room.
 func (s *selection) waits() bool {
 	if s.saturated.upstream == nil || s.best.upstream == nil {
 		return false
 	}
-	saved := s.best.uncached - s.saturated.uncached
-	return saved >= waitTokens && s.job.LatencyTarget > s.best.predicted
+	if s.best.uncached-s.saturated.uncached < waitTokens {
+		return false
+	}
+	return s.hasTime()
+}
+
+// hasTime reports whether the best replica with room would still meet the
+// latency target, or the deadline where there is no target to meet.
+func (s *selection) hasTime() bool {
+	if s.job.LatencyTarget > 0 {
+		return s.job.LatencyTarget > s.best.predicted
+	}
+	answer := time.Duration(s.job.MaxTokens) * s.best.upstream.tokenTime()
+	return s.job.Remaining > s.best.predicted+answer+lateMargin
 }
 
 func (s *selection) failure() error {
--- a/serving/route/speed.go
+++ b/serving/route/speed.go
@@ -11,11 +11,11 @@
 
 // Parameters of the observation of the speed.
 const (
-	speedWeight    = 0.15
-	leastSlowness  = 0.1
-	greatestSlow   = 20.0
-	ordinarySpeed  = 1.0
-	ordinaryMillis = 30.0
+	speedWeight         = 0.15
+	leastSlowness       = 0.1
+	greatestSlowness    = 20.0
+	ordinarySlowness    = 1.0
+	ordinaryTokenMillis = 30.0
 )
 
 // speed is how an upstream compares with an ordinary one.
@@ -35,7 +35,7 @@
 
 func (s *speed) observeFirstToken(after, ordinary time.Duration) {
 	ratio := float64(after) / float64(max(ordinary, 1))
-	s.slowness.add(min(max(ratio, leastSlowness), greatestSlow), speedWeight)
+	s.slowness.add(min(max(ratio, leastSlowness), greatestSlowness), speedWeight)
 }
 
 func (s *speed) observeNextTokens(n int, over time.Duration) {
--- a/serving/route/upstream.go
+++ b/serving/route/upstream.go
@@ -107,7 +107,7 @@
 
 // slowness is that of the upstream, or of its pool while it is not known.
 func (u *upstream) slowness() float64 {
-	return u.speed.slowness.or(u.pool.slowness.or(ordinarySpeed))
+	return u.speed.slowness.or(u.pool.slowness.or(ordinarySlowness))
 }
 
 // ordinaryFirstToken predicts the time to the first token of an upstream of ordinary
@@ -115,3 +115,8 @@
 func (u *upstream) ordinaryFirstToken(uncached int) time.Duration {
 	return firstToken(u.inProgress(), u.computing+uncached)
 }
+
+// tokenTime is the time between two tokens of an answer.
+func (u *upstream) tokenTime() time.Duration {
+	return time.Duration(u.speed.tokenMillis.or(ordinaryTokenMillis) * float64(time.Millisecond))
+}
