--- a/serving/route/upstream.go
+++ b/serving/route/upstream.go
@@ -5,6 +5,7 @@
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
+	"github.com/sycamorecourse/sycamorecourse/serving/health"
 	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
 )
 
@@ -38,7 +39,8 @@
 	// ownAtLoad is what own was when the report was true.
 	ownAtLoad int
 
-	speed speed
+	speed  speed
+	health health.Record
 	// matched is the number of prompt blocks held, found in the lookup of the
 	// call matchedIn of Choose.
 	matched   int
@@ -67,6 +69,16 @@
 	u.history.add(u.own, now)
 }
 
+// judge holds a failed attempt against the upstream if that is at fault.
+func (u *upstream) judge(kind FailureKind, now clock.Instant) {
+	switch kind {
+	case Broken, TimedOut:
+		u.pool.health.Failed(&u.health, now)
+	case Canceled, Refused:
+		u.pool.health.Abandoned(&u.health)
+	}
+}
+
 func (u *upstream) report(l Load, now clock.Instant) {
 	at := now.Add(-l.Age)
 	if at.Before(u.loadAt) {
@@ -95,7 +107,7 @@
 
 // slowness is that of the upstream, or of its pool while it is not known.
 func (u *upstream) slowness() float64 {
-	return u.speed.slowness.or(u.pool.slowness.or(ordinarySpeed))
+	return u.speed.slowness.or(u.pool.slowness.or(ordinarySlowness))
 }
 
 // ordinaryFirstToken predicts the time to the first token of an upstream of ordinary
@@ -103,3 +115,8 @@
 func (u *upstream) ordinaryFirstToken(uncached int) time.Duration {
 	return firstToken(u.inProgress(), u.computing+uncached)
 }
+
+// tokenTime is the time between two tokens of an answer.
+func (u *upstream) tokenTime() time.Duration {
+	return time.Duration(u.speed.tokenMillis.or(ordinaryTokenMillis) * float64(time.Millisecond))
+}
