--- a/standin/host/host.go
+++ b/standin/host/host.go
@@ -77,6 +77,10 @@
 // Faults returns the fault switches.
 func (h *Host) Faults() Faults { return h.switches.faults }
 
+// SetFaults replaces the fault switches. It is called on the duty, through
+// Post.
+func (h *Host) SetFaults(faults Faults) { h.switches.set(faults) }
+
 // Serve implements httpd.Handler.
 func (h *Host) Serve(x *httpd.Exchange) {
 	if h.inbox.Offer(event{served: x}) != nil {
