link: a process that comes when all links are in use may visit

Processes that start at once all dial the seeds, and those refused waited for the backoff. A sixth of the links is kept for visitors, which learn the members and are released after a second.

go test -race ./edge/link: ok.

--- a/edge/link/config.go
+++ b/edge/link/config.go
@@ -23,6 +23,8 @@
 	defaultRetryBase      = 200 * time.Millisecond
 	defaultRetryMax       = 5 * time.Second
 	handshakeTimeout      = 3 * time.Second
+	visitTime             = time.Second
+	visitorShare          = 6
 	dialers               = 2
 	dialSlots             = 4
 	streamWindowBytes     = 256 << 10
@@ -49,7 +51,9 @@
 	Log zerolog.Logger
 	// Registry takes the metrics; nil for none.
 	Registry prometheus.Registerer
-	// MaxLinks bounds the number of links.
+	// MaxLinks bounds the number of links. A sixth of them is kept for visitors:
+	// processes that link when all others are in use, learn the members and are
+	// released after a second.
 	MaxLinks int
 	// OutboundSlots is the number of messages that may wait for one peer.
 	OutboundSlots int
@@ -76,6 +80,11 @@
 	return c
 }
 
+// visitors returns the number of links that are kept for visitors.
+func (c *Config) visitors() int {
+	return c.MaxLinks / visitorShare
+}
+
 func setDefault[T int | time.Duration](p *T, value T) {
 	if *p == 0 {
 		*p = value
--- a/edge/link/link_test.go
+++ b/edge/link/link_test.go
@@ -160,6 +160,21 @@
 		a.next("up")
 	})
 
+	It("lets a process that comes when all links are in use visit for a while", func() {
+		directory := issue("a", "b", "c", "d", "e", "f", "g")
+		a := start(directory, "a", func(c *link.Config) { c.MaxLinks = 6 })
+		defer a.stop()
+		for _, name := range []string{"b", "c", "d", "e", "f", "g"} {
+			p := start(directory, name, nil)
+			defer p.stop()
+			Expect(p.links.SetTargets(targets(a))).To(Succeed())
+			p.next("up")
+			if name == "g" {
+				Expect(p.next("down").err).To(Equal(&link.ReleasedError{Remote: true}))
+			}
+		}
+	})
+
 	It("does not listen on all addresses without one for others to dial", func() {
 		name := keys.Name{Role: "gateway", Instance: "a"}
 		tlsConfig, err := keys.Load(keys.FilesIn(issue("a"), name), link.Protocol)
--- a/edge/link/manager.go
+++ b/edge/link/manager.go
@@ -30,7 +30,7 @@
 // run is the links duty.
 func (m *manager) run() error {
 	for {
-		e, ok, err := m.links.inbox.TakeUntil(m.dialings.wait(time.Now(), m.isLinked))
+		e, ok, err := m.links.inbox.TakeUntil(m.wait(time.Now()))
 		if err != nil {
 			m.closeAll()
 			return nil
@@ -38,6 +38,7 @@
 		if ok {
 			m.handle(e)
 		}
+		m.releaseVisitors(time.Now())
 		m.dialings.start(time.Now(), m.isLinked, m.offerDial)
 	}
 }
@@ -63,6 +64,25 @@
 	}
 }
 
+// wait returns the time until something is due.
+func (m *manager) wait(now time.Time) time.Duration {
+	wait := m.dialings.wait(now, m.isLinked)
+	for _, s := range m.up {
+		if s.session.isVisit {
+			wait = min(wait, s.session.since.Add(visitTime).Sub(now))
+		}
+	}
+	return max(wait, 0)
+}
+
+func (m *manager) releaseVisitors(now time.Time) {
+	for _, s := range m.up {
+		if s.session.isVisit && now.Sub(s.session.since) >= visitTime {
+			m.takeDown(s, &ReleasedError{})
+		}
+	}
+}
+
 func (m *manager) isLinked(t Target) bool {
 	if t.ID != "" {
 		return m.up[t.ID] != nil
@@ -151,6 +171,8 @@
 	s.session.outbound = ring.New[wire.Message]("link-outbound", m.links.config.OutboundSlots)
 	s.session.up = true
 	s.session.since = time.Now()
+	config := &m.links.config
+	s.session.isVisit = s.session.dialed == nil && len(m.up) >= config.MaxLinks-config.visitors()
 	m.up[id] = s
 	m.publish()
 	if s.session.dialed != nil {
@@ -158,7 +180,7 @@
 	}
 	m.links.counts.links.Inc()
 	m.links.config.Log.Info().Str("peer", id).Str("address", s.session.address()).
-		Bool("dialed", s.session.dialed != nil).Msg("link_up")
+		Bool("dialed", s.session.dialed != nil).Bool("visit", s.session.isVisit).Msg("link_up")
 	m.links.config.Handler.Up(s.session.peer)
 	_ = s.reads.Offer(s.session)
 	_ = s.writes.Offer(s.session)
--- a/edge/link/session.go
+++ b/edge/link/session.go
@@ -25,6 +25,8 @@
 	up bool
 	// since is the time at which the link came up.
 	since time.Time
+	// isVisit is true for a link that is released after visitTime.
+	isVisit bool
 	// reason is why this process closed the connection; nil if it did not.
 	reason error
 }
