spread: report holders as bits in place of hashes

Between processes with the same list of members, which the digest shows, a holder is one bit. Others ask for the hashes.

go test ./serving/spread: ok.

--- a/serving/spread/member_list.go
+++ b/serving/spread/member_list.go
@@ -16,6 +16,8 @@
 	// digest covers the members that are not gone: those that are gone are
 	// forgotten at different times.
 	digest uint64
+	// lastRoll is the roll as it was last asked for.
+	lastRoll *roll
 }
 
 func newMemberList(self Member) *memberList {
@@ -83,6 +85,14 @@
 	}
 }
 
+// roll returns the places of the members that are not gone.
+func (l *memberList) roll() *roll {
+	if l.lastRoll == nil || l.lastRoll.digest != l.digest {
+		l.lastRoll = newRoll(l)
+	}
+	return l.lastRoll
+}
+
 // all returns all members in no order.
 func (l *memberList) all() []Member {
 	out := make([]Member, 0, len(l.members))
--- a/serving/spread/node_news.go
+++ b/serving/spread/node_news.go
@@ -92,7 +92,7 @@
 	case TopicMembers:
 		n.send(p.id, &MemberNews{Members: n.members.all()})
 	case TopicReports:
-		n.sendReport(p, slices.Collect(maps.Keys(n.reports.holders)))
+		n.sendHolders(p)
 	}
 }
 
@@ -110,8 +110,12 @@
 }
 
 func (n *Node) onReport(now clock.Instant, p *peer, r *ConfigurationReport) {
-	n.addReport(now, r.Version, r.Holders)
-	p.knows(r.Version, r.Holders)
+	holders := r.Holders
+	if roll := n.members.roll(); r.Members == roll.digest {
+		holders = slices.Concat(holders, roll.holders(r.Places))
+	}
+	n.addReport(now, r.Version, holders)
+	p.knows(r.Version, holders)
 }
 
 // addReport plans to pass on what was new.
@@ -122,23 +126,28 @@
 }
 
 // sendReports tells each peer of the holders that it is not known to know of.
+// A peer with another list of members asks for them later.
 func (n *Node) sendReports() {
 	n.reportAt = 0
+	roll := n.members.roll()
+	report := &ConfigurationReport{
+		Version: n.reports.version,
+		Members: roll.digest,
+		Places:  roll.places(n.reports.holders),
+	}
+	told := roll.holders(report.Places)
 	for _, p := range n.peers {
 		p.knows(n.reports.version, nil)
-		var fresh []uint64
-		for h := range n.reports.holders {
-			if !p.known[h] {
-				fresh = append(fresh, h)
-			}
-		}
-		if len(fresh) > 0 {
-			n.sendReport(p, fresh)
+		if p.lacks(told) {
+			p.knows(n.reports.version, told)
+			n.send(p.id, report)
 		}
 	}
 }
 
-func (n *Node) sendReport(p *peer, holders []uint64) {
+// sendHolders tells a peer of all holders, whatever its list of members.
+func (n *Node) sendHolders(p *peer) {
+	holders := slices.Collect(maps.Keys(n.reports.holders))
 	p.knows(n.reports.version, holders)
 	n.send(p.id, &ConfigurationReport{Version: n.reports.version, Holders: holders})
 }
--- a/serving/spread/peer.go
+++ b/serving/spread/peer.go
@@ -30,3 +30,13 @@
 		p.known[h] = true
 	}
 }
+
+// lacks reports whether the peer is not known to know of all of the holders.
+func (p *peer) lacks(holders []uint64) bool {
+	for _, h := range holders {
+		if !p.known[h] {
+			return true
+		}
+	}
+	return false
+}
