fleet: an engine stays shown while it loads a new version and at a change of the holder

Cause: the gateways were told that an engine is starting whenever it did not serve the wanted version, and whenever a new holder had not read its state yet: a new model version, or a failover, took all engines of a pool out of routing. Change: an engine with the model loaded in whichever version can serve; one whose state is unknown is held back only while it is new. Measured: go test -race ./daemon/controller ./serving/order passed, with a test of both and one of a failure domain lost without a notice.

--- a/daemon/controller/fleet.go
+++ b/daemon/controller/fleet.go
@@ -67,6 +67,8 @@
 	// published is what the gateways were told under a fencing number.
 	published   map[string]fleet.Instance
 	publishedOf uint64
+	// liveSince is when each live instance was first seen live.
+	liveSince map[string]clock.Instant
 
 	nextTick   clock.Instant
 	nextList   clock.Instant
--- a/daemon/controller/fleet_report.go
+++ b/daemon/controller/fleet_report.go
@@ -2,7 +2,9 @@
 
 import (
 	"sort"
+	"time"
 
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/daemon/report"
 	"github.com/sycamorecourse/sycamorecourse/edge/operator"
 	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
@@ -16,6 +18,7 @@
 	now := f.clock.Now()
 	instances := f.view.Instances()
 	g := f.lease.grant()
+	f.noteLive(instances)
 	if g.isValid(now) {
 		f.publishChanges(g.fence, instances)
 	}
@@ -82,13 +85,40 @@
 	}
 }
 
-// publicState holds an engine back from the gateways until it serves what the
-// configuration wants.
+// publicState holds an engine back from the gateways until it can serve. One of
+// which that is not known, as after a change of the holder, is held back only
+// while it is new.
 func (f *fleetDuty) publicState(i fleet.Instance) fleet.State {
-	if i.State == fleet.Live && f.isEngine(i) && !f.serving[i.ID] {
-		return fleet.Starting
+	if i.State != fleet.Live || !f.isEngine(i) {
+		return i.State
 	}
-	return i.State
+	canServe, known := f.serving[i.ID]
+	if !known {
+		canServe = f.clock.Now().Sub(f.liveSince[i.ID]) > readLimit
+	}
+	if canServe {
+		return fleet.Live
+	}
+	return fleet.Starting
+}
+
+// readLimit is the time in which the state of a new engine is read.
+const readLimit = 3 * time.Second
+
+// noteLive notes when each instance was first seen live.
+func (f *fleetDuty) noteLive(instances []fleet.Instance) {
+	since := make(map[string]clock.Instant, len(instances))
+	for _, i := range instances {
+		if i.State != fleet.Live {
+			continue
+		}
+		at, ok := f.liveSince[i.ID]
+		if !ok {
+			at = f.clock.Now()
+		}
+		since[i.ID] = at
+	}
+	f.liveSince = since
 }
 
 func (f *fleetDuty) isEngine(i fleet.Instance) bool {
--- a/daemon/controller/fleet_test.go
+++ b/daemon/controller/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/intent"
 	"github.com/sycamorecourse/sycamorecourse/serving/place"
 	"github.com/sycamorecourse/sycamorecourse/serving/price"
+	"github.com/sycamorecourse/sycamorecourse/serving/spread"
 )
 
 // world is a table, a cloud and a clock that fleet duties share.
@@ -26,8 +27,28 @@
 	cloud         *memoryCloud
 	configuration *intent.Configuration
 	runs          uint64
+	// shown is what the gateways were told last, under an epoch.
+	shown   map[string]fleet.Instance
+	epoch   uint64
+	serving map[string]bool
 }
 
+// world is followers that keep what they were told.
+func (w *world) PublishConfiguration(*intent.Configuration) error { return nil }
+
+func (w *world) PublishFleet(epoch uint64, upserts []fleet.Instance, removed []string) error {
+	w.epoch = epoch
+	for _, i := range upserts {
+		w.shown[i.ID] = i
+	}
+	for _, id := range removed {
+		delete(w.shown, id)
+	}
+	return nil
+}
+
+func (w *world) Await(uint64, time.Duration, *ring.Ring[spread.Progress]) error { return nil }
+
 const agreed = intent.Micros(4_400_000)
 
 // newWorld has one pool of 6 replicas over 3 failure domains. Reclaimable
@@ -44,6 +65,8 @@
 		clock:         manual,
 		table:         newMemoryTable(),
 		cloud:         newMemoryCloud(offers(&document)),
+		shown:         map[string]fleet.Instance{},
+		serving:       map[string]bool{},
 		configuration: &intent.Configuration{Version: 1, TotalMicrosPerHour: agreed, Documents: []intent.Document{document}},
 	}
 }
@@ -61,7 +84,7 @@
 	f := newFleetDuty(settings, zerolog.Nop(), w.table, w.cloud, holder, w.clock, w.now)
 	f.planner = ring.New[plannerEvent]("planner", 1)
 	f.orders = ring.New[ordersEvent]("orders", 1)
-	f.followers = alone{}
+	f.followers = w
 	f.counters = newCounters(prometheus.NewRegistry())
 	f.configure(w.configuration)
 	return f
@@ -137,6 +160,49 @@
 		}
 	})
 
+	It("replaces what is lost without a notice, once the list lacks it for long enough", func() {
+		w := newWorld()
+		f := w.start()
+		w.settle(f)
+		for id, i := range w.cloud.instances {
+			if i.FailureDomain == "b" {
+				delete(w.cloud.instances, id)
+			}
+		}
+		w.settle(f)
+		Expect(w.live()).To(Equal(6))
+		Expect(w.cloud.starts).To(Equal(8))
+	})
+
+	It("shows engines to the gateways once they can serve, and keeps them shown at a change of the holder", func() {
+		w := newWorld()
+		w.configuration.Documents[0].Pools[0].Kind = intent.Engine
+		f := w.start()
+		w.settle(f)
+		for id := range w.cloud.instances {
+			w.serving[id] = false
+		}
+		f.handle(fleetEvent{serving: &servingNews{instances: w.serving}})
+		tick(f)
+		Expect(w.shown).To(HaveLen(6))
+		Expect(w.shown).To(HaveEach(HaveField("State", fleet.Starting)))
+		serving := map[string]bool{}
+		for id := range w.cloud.instances {
+			serving[id] = true
+		}
+		f.handle(fleetEvent{serving: &servingNews{instances: serving}})
+		tick(f)
+		Expect(w.shown).To(HaveEach(HaveField("State", fleet.Live)))
+
+		next := w.start()
+		for range 30 {
+			w.clock.Advance(time.Second)
+			tick(next)
+			Expect(w.shown).To(HaveEach(HaveField("State", fleet.Live)))
+		}
+		Expect(w.epoch).To(BeEquivalentTo(2))
+	})
+
 	It("ends the instances of a pool that is no longer wanted, after a drain", func() {
 		w := newWorld()
 		f := w.start()
--- a/daemon/controller/orders.go
+++ b/daemon/controller/orders.go
@@ -184,12 +184,12 @@
 	e.Fail(now)
 }
 
-// tellServing tells the fleet duty which engines serve, when that changes.
+// tellServing tells the fleet duty which engines can serve, when that changes.
 func (o *ordersDuty) tellServing() {
 	serving := make(map[string]bool, len(o.engines))
 	for id, e := range o.engines {
-		if e.IsServing() {
-			serving[id] = true
+		if e.State != nil {
+			serving[id] = e.CanServe()
 		}
 	}
 	if maps.Equal(serving, o.serving) {
@@ -201,8 +201,11 @@
 }
 
 func (o *ordersDuty) section() report.Section {
-	dump := ordersDump{Fence: o.grant.fence, Engines: len(o.engines), Serving: len(o.serving)}
+	dump := ordersDump{Fence: o.grant.fence, Engines: len(o.engines)}
 	for _, e := range o.engines {
+		if e.CanServe() {
+			dump.Serving++
+		}
 		if e.ReadBack {
 			dump.ReadBack++
 		}
--- a/daemon/controller/orders_dump.go
+++ b/daemon/controller/orders_dump.go
@@ -6,7 +6,7 @@
 	Fence uint64 `json:"fence"`
 	// Engines is the number of live engines.
 	Engines int `json:"engines"`
-	// Serving is the number of engines that serve what is wanted.
+	// Serving is the number of engines that can serve.
 	Serving int `json:"serving"`
 	// ReadBack is the number of engines whose state must be read before the
 	// next order.
--- a/daemon/controller/serving_news.go
+++ b/daemon/controller/serving_news.go
@@ -1,7 +1,7 @@
 package controller
 
-// servingNews says which engines serve what is wanted. It is not changed once
-// sent.
+// servingNews says of each engine whose state was read whether it can serve. It
+// is not changed once sent.
 type servingNews struct {
 	instances map[string]bool
 }
--- a/serving/order/engine.go
+++ b/serving/order/engine.go
@@ -53,7 +53,12 @@
 	e.ReadAt = now.Add(unsettledInterval)
 }
 
-// IsServing reports whether the engine may take requests.
+// CanServe reports whether the engine may take requests.
+func (e *Engine) CanServe() bool {
+	return e.State != nil && e.State.CanServe(e.Wanted)
+}
+
+// IsServing reports whether the engine serves what is wanted.
 func (e *Engine) IsServing() bool {
 	return e.State != nil && e.State.IsServing(e.Wanted)
 }
--- a/serving/order/next_test.go
+++ b/serving/order/next_test.go
@@ -57,6 +57,8 @@
 		Expect(names(order.Orders(engines, open))).To(ConsistOf("p-2", "p-3", "p-5"))
 		Expect(engines["p-0"].IsServing()).To(BeTrue())
 		Expect(engines["p-1"].IsServing()).To(BeFalse())
+		Expect(engines["p-1"].CanServe()).To(BeTrue(), "the old version is served meanwhile")
+		Expect(engines["p-3"].CanServe()).To(BeFalse())
 	})
 
 	It("gives no orders to engines that ignore fencing numbers before the wait is over", func() {
--- a/serving/order/state.go
+++ b/serving/order/state.go
@@ -24,6 +24,18 @@
 	return s.hasSettings(w)
 }
 
+// CanServe reports whether the engine has the wanted models loaded, if only in
+// another version: it serves that one until the wanted version is loaded.
+func (s *State) CanServe(w Wanted) bool {
+	for _, m := range w.Models {
+		isLoaded := func(found ModelState) bool { return found.Name == m.Name && found.State == ModelLoaded }
+		if !slices.ContainsFunc(s.Models, isLoaded) {
+			return false
+		}
+	}
+	return true
+}
+
 // IsOrdered reports whether the engine serves what is wanted, and nothing else,
 // or is on its way there.
 func (s *State) IsOrdered(w Wanted) bool {
