confirm: say what an unavailable table service means for a repeated plan

Cause: the error said that the plan had not taken effect, but when a plan is confirmed again after an unknown outcome, the first confirmation may have. Found by the history check of confirmations. Change: the error speaks of this confirmation alone.

--- a/coord/confirm/rejected.go
+++ b/coord/confirm/rejected.go
@@ -2,10 +2,10 @@
 
 // Rejected ends a confirmation without success.
 type Rejected struct {
-	// Err is a *ConflictError, *StaleChangeError, *UnavailableError or
-	// *InvalidError: the plan has not taken effect and this confirmation will
-	// not change that. Or it is an *UnknownError: the plan may have taken
-	// effect or may still do so, and is to be confirmed again.
+	// Err says why. A *ConflictError, *StaleChangeError or *InvalidError: the
+	// plan has not taken effect. An *UnavailableError: this confirmation had
+	// no effect. An *UnknownError: the plan may have taken effect or may still
+	// do so, and is to be confirmed again.
 	Err error
 }
 
--- a/coord/confirm/unavailable_error.go
+++ b/coord/confirm/unavailable_error.go
@@ -1,7 +1,9 @@
 package confirm
 
-// UnavailableError reports that the table service could not be used. The plan
-// has not taken effect.
+// UnavailableError reports that the table service could not be used. This
+// confirmation had no effect and will have none. An earlier confirmation of the
+// plan whose outcome was unknown keeps its own outcome: only a confirmation that
+// reaches the table service tells.
 type UnavailableError struct {
 	// PlanID names the plan.
 	PlanID string
@@ -11,7 +13,7 @@
 
 // Error implements error.
 func (e *UnavailableError) Error() string {
-	return "plan " + e.PlanID + " was not confirmed: " + e.Err.Error()
+	return "this confirmation of plan " + e.PlanID + " had no effect: " + e.Err.Error()
 }
 
 // Unwrap returns the cause.
