--- a/proof/history/node.go
+++ b/proof/history/node.go
@@ -17,14 +17,18 @@
 	ppm     int64         // by which its clock is fast
 	offset  time.Duration // of its clock
 	resumes clock.Instant // end of the present pause
+	rejoins clock.Instant // end of the present separation from the table
 	start   func()        // called at each start
 }
 
+const million = 1_000_000
+
 // Trouble bounds how often and how long nodes are in trouble.
 type Trouble struct {
-	// Every is the mean time between two pauses or crashes of a node.
+	// Every is the mean time between two pauses, crashes or separations from
+	// the table of a node.
 	Every time.Duration
-	// Longest is the longest pause and the longest time to a restart.
+	// Longest is the longest pause, time to a restart, or separation.
 	Longest time.Duration
 	// SkewPPM bounds the error of the rates of the clocks.
 	SkewPPM int64
@@ -50,29 +54,37 @@
 // Now reads the clock of the node.
 func (n *Node) Now() clock.Instant {
 	passed := int64(n.world.Now())
-	return clock.Instant(passed + passed/1_000_000*n.ppm).Add(n.offset)
+	return clock.Instant(passed + passed/million*n.ppm).Add(n.offset)
 }
 
 // After calls f when d has passed on the clock of the node.
 func (n *Node) After(d time.Duration, f func()) {
-	n.world.After(d, n.Wrap(f))
+	passed := d*million/time.Duration(million+n.ppm) + time.Nanosecond // rounded up
+	n.world.After(passed, n.Wrap(f))
 }
 
 // Wrap returns a function that calls f as the present incarnation: not at all
 // after a crash, and after the end of a pause.
 func (n *Node) Wrap(f func()) func() {
+	return n.guard()(f)
+}
+
+// guard is Wrap for a function that is not known yet.
+func (n *Node) guard() func(func()) func() {
 	incarnation := n.Incarnation
-	var call func()
-	call = func() {
-		switch {
-		case n.Incarnation != incarnation:
-		case n.isPaused():
-			n.world.After(n.resumes.Sub(n.world.Now()), call)
-		default:
-			f()
+	return func(f func()) func() {
+		var call func()
+		call = func() {
+			switch {
+			case n.Incarnation != incarnation:
+			case n.isPaused():
+				n.world.After(n.resumes.Sub(n.world.Now()), call)
+			default:
+				f()
+			}
 		}
+		return call
 	}
-	return call
 }
 
 // IsDown reports whether the node is paused or waits for its restart.
@@ -92,6 +104,16 @@
 	n.world.After(d, n.Wrap(n.start))
 }
 
+// Separate cuts the node off from the table for a time.
+func (n *Node) Separate(d time.Duration) {
+	n.rejoins = max(n.rejoins, n.world.Now().Add(d))
+}
+
+// IsSeparate reports whether the node is cut off from the table.
+func (n *Node) IsSeparate() bool {
+	return n.rejoins.After(n.world.Now())
+}
+
 func (n *Node) begin() {
 	n.Incarnation = 1
 	n.world.After(0, n.Wrap(n.start))
@@ -104,10 +126,13 @@
 func (n *Node) scheduleTrouble(t Trouble) {
 	n.world.After(n.world.Between(0, 2*t.Every), func() {
 		d := n.world.Between(0, t.Longest)
-		if n.world.Chance(500) {
+		switch n.world.Random.IntN(3) {
+		case 0:
 			n.Pause(d)
-		} else {
+		case 1:
 			n.Crash(d)
+		default:
+			n.Separate(d)
 		}
 		n.scheduleTrouble(t)
 	})
--- a/proof/history/table.go
+++ b/proof/history/table.go
@@ -45,11 +45,12 @@
 // Write tries a transaction and hands the result to done.
 func (t *Table) Write(n *Node, tx row.Transaction, done func(error)) {
 	latency := t.world.Between(leastLatency, mostLatency)
+	guard := n.guard()
 	answer := func(after time.Duration, err error) {
-		t.world.After(after, n.Wrap(func() { done(err) }))
+		t.world.After(after, guard(func() { done(err) }))
 	}
 	unknown := &row.UnknownError{Err: &FaultError{}}
-	switch fault := t.draw(); {
+	switch fault := t.draw(n); {
 	case fault == unavailable:
 		answer(latency, &row.UnavailableError{Err: &FaultError{}})
 	case fault == lost:
@@ -73,15 +74,16 @@
 // Read reads a row and hands the result to done.
 func (t *Table) Read(n *Node, key row.Key, done func(row.Row, error)) {
 	latency := t.world.Between(leastLatency, mostLatency)
-	if t.draw() == unavailable {
-		t.world.After(latency, n.Wrap(func() {
+	guard := n.guard()
+	if t.draw(n) == unavailable {
+		t.world.After(latency, guard(func() {
 			done(row.Row{}, &row.UnavailableError{Err: &FaultError{}})
 		}))
 		return
 	}
 	t.world.After(latency, func() {
 		found := t.Row(key)
-		t.world.After(t.world.Between(leastLatency, mostLatency), n.Wrap(func() { done(found, nil) }))
+		t.world.After(t.world.Between(leastLatency, mostLatency), guard(func() { done(found, nil) }))
 	})
 }
 
@@ -106,8 +108,8 @@
 	return nil
 }
 
-func (t *Table) draw() fault {
-	if t.downEnd.After(t.world.Now()) {
+func (t *Table) draw(n *Node) fault {
+	if n.IsSeparate() || t.downEnd.After(t.world.Now()) {
 		return unavailable
 	}
 	at := t.world.Random.IntN(1000)
