Keep a part of each replica's room for requests with a near latency target

Requests whose first token is wanted within 1.5 s may fill a replica; others stop at 0.8 of its limit.

--- a/serving/route/job.go
+++ b/serving/route/job.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// urgentTarget is the time to the latency target from which a job is urgent.
+const urgentTarget = 1500 * time.Millisecond
+
 // Job is what the choice of a replica depends on.
 type Job struct {
 	// Pool names the pool that may run it.
@@ -27,6 +30,11 @@
 	Customer string
 }
 
+// isUrgent reports whether the first token is wanted soon and not yet too late.
+func (j *Job) isUrgent() bool {
+	return j.LatencyTarget > 0 && j.LatencyTarget <= urgentTarget
+}
+
 func (j *Job) avoids(id string) bool {
 	for _, tried := range j.Avoid {
 		if tried == id {
--- a/serving/route/selection.go
+++ b/serving/route/selection.go
@@ -49,7 +49,7 @@
 		return
 	}
 	c := s.candidate(u)
-	if u.isSaturated(c.uncached) {
+	if u.isSaturated(s.job, c.uncached) {
 		if s.saturated.upstream == nil || c.uncached < s.saturated.uncached {
 			s.saturated = c
 		}
--- a/serving/route/upstream.go
+++ b/serving/route/upstream.go
@@ -14,6 +14,10 @@
 // they can still be ordered.
 const computeLimit = 250 * time.Millisecond
 
+// unreservedShare is the part of an upstream's room that jobs which are not
+// urgent may fill.
+const unreservedShare = 0.8
+
 // upstream is a replica with what is known about it.
 type upstream struct {
 	replica Replica
@@ -89,16 +93,26 @@
 	u.ownAtLoad = u.history.countAt(at)
 }
 
-// isSaturated reports whether the upstream is to get no request with a number
-// of prompt tokens to compute. One that computes nothing takes any prompt.
-func (u *upstream) isSaturated(uncached int) bool {
-	limit := u.replica.MaxConcurrent
-	if limit > 0 && u.inProgress() >= limit {
+// isSaturated reports whether the upstream is to get no job with a number of
+// prompt tokens to compute. One that computes nothing takes any prompt.
+func (u *upstream) isSaturated(job *Job, uncached int) bool {
+	if limit := u.limit(job); limit > 0 && u.inProgress() >= limit {
 		return true
 	}
 	return u.computing > 0 && u.computeTime(u.computing+uncached) > computeLimit
 }
 
+// limit is the number of requests in progress up to which a job may start; 0 is
+// limit is the number of requests in progress up to which a job may start; 0 is
+// no limit. Calls of plain services are short, and get all of the room.
+func (u *upstream) limit(job *Job) int {
+	limit := u.replica.MaxConcurrent
+	if limit == 0 || job.Model == "" || job.isUrgent() {
+		return limit
+	}
+	return max(int(float64(limit)*unreservedShare), 1)
+}
+
 // computeTime predicts how long prompt tokens take to compute.
 func (u *upstream) computeTime(tokens int) time.Duration {
 	ordinary := float64(time.Duration(tokens) * timePerToken)
