--- a/proof/bench/engine.go
+++ b/proof/bench/engine.go
@@ -20,6 +20,7 @@
 	cache    *blockCache
 	stepping bool
 	dead     bool
+	hung     bool
 	failing  bool
 	slow     float64
 	sequence uint64
@@ -53,6 +54,14 @@
 	return slices.Insert(attempts, at, a)
 }
 
+// cancel drops an attempt, wherever it is.
+func (e *engine) cancel(a *attempt) {
+	is := func(b *attempt) bool { return a == b }
+	e.waiting = slices.DeleteFunc(e.waiting, is)
+	e.prefill = slices.DeleteFunc(e.prefill, is)
+	e.decode = slices.DeleteFunc(e.decode, is)
+}
+
 // die ends the engine with all that is in progress.
 func (e *engine) die() {
 	e.dead = true
@@ -110,6 +119,9 @@
 }
 
 func (e *engine) endStep(decoding int, finished []*attempt) {
+	if e.hung {
+		return
+	}
 	e.stepping = false
 	if e.dead {
 		for _, a := range finished {
--- a/proof/bench/gateway.go
+++ b/proof/bench/gateway.go
@@ -1,9 +1,11 @@
 package bench
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/serving/admit"
+	"github.com/sycamorecourse/sycamorecourse/serving/hedge"
 	"github.com/sycamorecourse/sycamorecourse/serving/route"
 )
 
@@ -14,11 +16,13 @@
 	queue  *admit.Queue
 	jobs   map[uint64]*job
 	budget retryBudget
+	hedges *hedge.Budget
 }
 
 // arrive takes a request of a caller.
 func (g *gateway) arrive(j *job) {
 	g.budget.request()
+	g.hedges.Request()
 	if err := g.queue.Admit(j.entry, g.sim.now); err != nil {
 		g.sim.result.refused(j)
 		return
@@ -83,6 +87,65 @@
 	g.router.Started(&a.choice, g.routeJob(j), now)
 	e := g.sim.engines[c.ID]
 	g.sim.after(g.sim.member.OneWay, func() { e.submit(a) })
+	g.sim.after(j.entry.Deadline.Sub(now), func() { g.timeOut(a) })
+	if len(j.attempts) == 1 {
+		g.planHedge(a)
+	}
+}
+
+// timeOut gives up an attempt at the deadline of its job.
+func (g *gateway) timeOut(a *attempt) {
+	if a.ended {
+		return
+	}
+	j := a.job
+	a.ended = true
+	a.canceled = true
+	g.router.Failed(&a.choice, route.TimedOut, g.sim.now)
+	e := g.sim.engines[a.choice.ID]
+	g.sim.after(g.sim.member.OneWay, func() { e.cancel(a) })
+	if !j.ended && j.live() == 0 {
+		g.end(j)
+		g.sim.result.failed(j)
+	}
+}
+
+func (g *gateway) planHedge(a *attempt) {
+	delay, ok := g.hedges.Delay(hedge.Attempt{Idempotent: !a.job.class.NonIdempotent, PredictedFirstToken: a.choice.PredictedFirstToken})
+	if ok {
+		g.sim.after(delay, func() { g.hedge(a) })
+	}
+}
+
+// hedge sends a second attempt if the first one has no token yet.
+func (g *gateway) hedge(a *attempt) {
+	j := a.job
+	if a.firstAt != 0 || a.ended || j.ended || j.live() != 1 {
+		return
+	}
+	avoid := j.avoid
+	j.avoid = append(slices.Clone(avoid), a.choice.ID)
+	c, err := g.router.Choose(g.routeJob(j), g.sim.now)
+	j.avoid = avoid
+	if err == nil && g.hedges.Take() {
+		g.sim.result.hedged(j)
+		g.send(j, c)
+	}
+}
+
+// cancelOthers ends the attempts beside the one that answers. They are held
+// against their replicas, as they were late enough for a hedge.
+func (g *gateway) cancelOthers(chosen *attempt) {
+	for _, a := range chosen.job.attempts {
+		if a == chosen || a.ended {
+			continue
+		}
+		a.ended = true
+		a.canceled = true
+		g.router.Failed(&a.choice, route.TimedOut, g.sim.now)
+		e := g.sim.engines[a.choice.ID]
+		g.sim.after(g.sim.member.OneWay, func() { e.cancel(a) })
+	}
 }
 
 func (g *gateway) firstToken(a *attempt) {
@@ -93,6 +156,7 @@
 	a.firstAt = now
 	g.router.FirstToken(&a.choice, now.Sub(a.sentAt), now)
 	g.queue.FirstToken(a.job.entry, now.Sub(a.job.dispatchedAt))
+	g.cancelOthers(a)
 	if a.job.firstAt == 0 {
 		a.job.firstAt = now
 	}
--- a/proof/bench/result.go
+++ b/proof/bench/result.go
@@ -23,6 +23,8 @@
 	Failed int
 	// Attempts counts what was sent to upstreams, of Dispatched requests.
 	Attempts, Dispatched int
+	// Hedges counts second attempts sent beside a slow first one.
+	Hedges int
 	// Recomputed counts prompt tokens computed before, and tokens lost.
 	Recomputed int
 	// Jain is the fairness between customers: 1 is even.
@@ -88,6 +90,12 @@
 	}
 }
 
+func (r *Result) hedged(j *job) {
+	if j.isMeasured() {
+		r.Hedges++
+	}
+}
+
 func (r *Result) countAttempts(j *job) {
 	r.Dispatched++
 	r.Attempts += j.sent
--- a/proof/bench/scenario.go
+++ b/proof/bench/scenario.go
@@ -9,12 +9,14 @@
 	// Load multiplies the rates of the member's classes.
 	Load float64
 	// ReclaimDomain takes all replicas of one failure domain: a notice reaches
-	// the gateways at FaultAt, the replicas end ReclaimNotice later.
+	// the gateways at faultAt, the replicas end reclaimNotice later.
 	ReclaimDomain bool
 	// FailDomain lets each request at one failure domain fail from the start.
 	FailDomain bool
-	// SlowReplica lets one replica take four times its time from FaultAt on.
+	// SlowReplica lets one replica take four times its time from faultAt on.
 	SlowReplica bool
+	// HungReplica lets one replica take requests and answer none from faultAt on.
+	HungReplica bool
 	// LateReports delays load reports and cache events, and loses some.
 	LateReports bool
 	// LoudCustomer multiplies the traffic of the third customer by ten.
@@ -42,6 +44,7 @@
 		{Name: "domain_reclaimed", Load: 0.6, ReclaimDomain: true},
 		{Name: "domain_failing", Load: 0.6, FailDomain: true},
 		{Name: "slow_replica", Load: 0.7, SlowReplica: true},
+		{Name: "hung_replica", Load: 0.7, HungReplica: true},
 		{Name: "late_reports", Load: 0.9, LateReports: true},
 		{Name: "loud_customer", Load: 0.8, LoudCustomer: true},
 	}
--- a/proof/bench/simulation.go
+++ b/proof/bench/simulation.go
@@ -8,6 +8,7 @@
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/admit"
 	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
+	"github.com/sycamorecourse/sycamorecourse/serving/hedge"
 	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
 	"github.com/sycamorecourse/sycamorecourse/serving/route"
 )
@@ -83,7 +84,7 @@
 	for i := range gatewayCount {
 		cfg := v.Route
 		cfg.Rand = rand.New(rand.NewPCG(seed, uint64(i)+2))
-		g := &gateway{sim: s, router: route.New(cfg), queue: admit.New(v.Admit), jobs: make(map[uint64]*job)}
+		g := &gateway{sim: s, router: route.New(cfg), queue: admit.New(v.Admit), hedges: hedge.NewBudget(v.Hedge), jobs: make(map[uint64]*job)}
 		g.queue.SetCustomers(s.member.Customers)
 		for _, e := range s.ordered {
 			g.router.Upsert(e.replica)
@@ -140,11 +141,20 @@
 			s.after(faultAt, func() { s.reclaim(e) })
 		}
 	}
+	if s.scenario.HungReplica {
+		s.after(faultAt, s.ordered[1].hang)
+	}
 	if s.scenario.SlowReplica {
 		s.after(faultAt, func() { s.ordered[1].slow = slowFactor })
 	}
 }
 
+// hang lets an engine take requests and never answer.
+func (e *engine) hang() {
+	e.stepping = true
+	e.hung = true
+}
+
 func (s *simulation) reclaim(e *engine) {
 	for _, g := range s.gateways {
 		g.router.SetLeaving(e.replica.ID)
--- a/proof/bench/variant.go
+++ b/proof/bench/variant.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sycamorecourse/sycamorecourse/serving/admit"
 	"github.com/sycamorecourse/sycamorecourse/serving/health"
+	"github.com/sycamorecourse/sycamorecourse/serving/hedge"
 	"github.com/sycamorecourse/sycamorecourse/serving/route"
 )
 
@@ -14,6 +15,8 @@
 	Route route.Config
 	// Admit configures the queues.
 	Admit admit.Config
+	// Hedge configures the hedging.
+	Hedge hedge.Config
 }
 
 // Variants are those of the report, baselines first.
@@ -24,7 +27,8 @@
 		{Name: "least_requests+fifo", Route: route.Config{Policy: route.LeastRequests}, Admit: arrival},
 		{Name: "least_requests", Route: route.Config{Policy: route.LeastRequests}},
 		{Name: "predicted", Route: route.Config{Policy: route.Predicted}},
-		{Name: "predicted_cached-health", Route: route.Config{Health: health.Config{Disabled: true}}},
+		{Name: "predicted_cached-health", Route: route.Config{Policy: route.PredictedCached, Health: health.Config{Disabled: true}}},
+		{Name: "predicted_cached-hedge", Route: route.Config{Policy: route.PredictedCached}, Hedge: hedge.Config{Disabled: true}},
 		{Name: "predicted_cached", Route: route.Config{Policy: route.PredictedCached}},
 		{Name: "slack", Route: route.Config{Policy: route.Slack}},
 	}
--- /dev/null
+++ b/serving/hedge/doc.go
@@ -0,0 +1,2 @@
+// Package hedge decides when a second attempt is sent beside a slow first one.
+package hedge
