--- a/serving/prefix/index_test.go
+++ b/serving/prefix/index_test.go
@@ -58,3 +58,30 @@
 		Expect(x.Len()).To(Equal(64))
 	})
 })
+
+var _ = Describe("Transfer", func() {
+	transfer := prefix.Transfer{
+		Tokens:         8000,
+		BytesPerToken:  100_000,
+		BytesPerSecond: 2e9,
+		Setup:          50 * time.Millisecond,
+		TimePerToken:   100 * time.Microsecond,
+	}
+
+	It("moves a long prompt and computes a short one", func() {
+		Expect(transfer.MoveTime()).To(Equal(450 * time.Millisecond))
+		Expect(transfer.ShouldMove()).To(BeTrue())
+		short := transfer
+		short.Tokens = 500
+		Expect(short.ShouldMove()).To(BeFalse())
+	})
+
+	It("computes if the source is gone before, or moves fail too often", func() {
+		leaving := transfer
+		leaving.Available = 400 * time.Millisecond
+		Expect(leaving.ShouldMove()).To(BeFalse())
+		flaky := transfer
+		flaky.FailureShare = 0.5
+		Expect(flaky.ShouldMove()).To(BeFalse())
+	})
+})
