Route to a subset of each pool; a budget for retries

At 900 replicas a gateway talks to 64 of a pool, picked by rendezvous hashing from each failure domain in turn, and probes only those: connections and probes grow with gateways plus upstreams. Attempts that follow a failed one are bounded to one in ten requests.

--- a/daemon/gateway/apply.go
+++ b/daemon/gateway/apply.go
@@ -22,11 +22,6 @@
 		}
 	}
 	g.watchOwnInstance(u.Upserts)
-	if len(u.Upserts) > 0 || len(u.Removed) > 0 {
-		if err := g.probe.inbox.Offer(probeMessage{upserts: u.Upserts, removed: u.Removed}); err != nil {
-			return err
-		}
-	}
 	return g.dispatch.inbox.Offer(fleetUpdate{
 		configuration: u.Configuration,
 		upserts:       u.Upserts,
@@ -35,11 +30,6 @@
 	})
 }
 
-// isProbed reports whether an instance is asked for its load.
-func isProbed(instance fleet.Instance) bool {
-	return instance.State == fleet.Live
-}
-
 // watchOwnInstance begins a graceful shutdown when the instance of this gateway
 // is reclaimed.
 func (g *Gateway) watchOwnInstance(upserts []fleet.Instance) {
--- a/daemon/gateway/dispatcher.go
+++ b/daemon/gateway/dispatcher.go
@@ -35,6 +35,7 @@
 	calls    map[dispatch.Ref]*httpc.Call
 	counted  clock.Instant
 	handover *handover
+	probe    *ring.Ring[probeMessage]
 }
 
 func (d *dispatcher) run() error {
@@ -132,6 +133,9 @@
 	if len(m.removed) > 0 {
 		d.core.Remove(m.removed, now)
 	}
+	// Without room the probe goes on with its present targets until the next
+	// change.
+	_ = d.probe.Offer(probeMessage{targets: d.core.Routed()})
 }
 
 // timeLeft is how long a leaving instance still runs, by the wall clock.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -83,6 +83,7 @@
 		upstream: g.upstream,
 		interval: s.ProbeInterval,
 	}
+	g.dispatch.probe = g.probe.inbox
 	g.drain = &drain{
 		inbox:    ring.New[drainMessage]("drain", drainSlots),
 		dispatch: dispatches,
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -16,12 +16,6 @@
 // offerTimeout is how long another gateway may take to answer an offer.
 const offerTimeout = 3 * time.Second
 
-// sender is the part of the links that a hand-over needs.
-type sender interface {
-	// Send offers a message to a peer.
-	Send(id string, m wire.Message) error
-}
-
 // handover is the part of the dispatch duty that gives requests to other
 // gateways and takes theirs. The duty owns it.
 type handover struct {
--- a/daemon/gateway/probe.go
+++ b/daemon/gateway/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
@@ -29,29 +28,13 @@
 			return nil
 		}
 		if ok {
-			p.change(m)
+			p.targets = m.targets
 			continue
 		}
 		p.ask()
 	}
 }
 
-func (p *probe) change(m probeMessage) {
-	for _, instance := range m.upserts {
-		p.drop(instance.ID)
-		if isProbed(instance) {
-			p.targets = append(p.targets, instance)
-		}
-	}
-	for _, id := range m.removed {
-		p.drop(id)
-	}
-}
-
-func (p *probe) drop(id string) {
-	p.targets = slices.DeleteFunc(p.targets, func(target fleet.Instance) bool { return target.ID == id })
-}
-
 // pause is the time between the questions to two upstreams.
 func (p *probe) pause() time.Duration {
 	return p.interval / time.Duration(max(len(p.targets), 1))
--- a/serving/dispatch/config.go
+++ b/serving/dispatch/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/attempt"
+	"github.com/sycamorecourse/sycamorecourse/coord/retry"
 	"github.com/sycamorecourse/sycamorecourse/serving/admit"
 	"github.com/sycamorecourse/sycamorecourse/serving/route"
 )
@@ -36,6 +37,12 @@
 	// WithoutExport moves requests by computing them again and never with their
 	// KV cache.
 	WithoutExport bool
+	// PoolSubset bounds the upstreams of one pool that this gateway routes to.
+	// Default 64.
+	PoolSubset int
+	// Retry bounds the attempts that follow a failed one, as a share of the
+	// requests. Default one in ten, with a burst of 20.
+	Retry retry.Config
 	// MaxInlineBytes bounds the answers that are kept in the record of a
 	// non-idempotent request. Default 8 KiB.
 	MaxInlineBytes int
@@ -64,6 +71,15 @@
 	if c.LeaveMargin <= 0 {
 		c.LeaveMargin = 500 * time.Millisecond
 	}
+	if c.PoolSubset <= 0 {
+		c.PoolSubset = 64
+	}
+	if c.Retry.RatioPerMille <= 0 {
+		c.Retry.RatioPerMille = 100
+	}
+	if c.Retry.Burst <= 0 {
+		c.Retry.Burst = 20
+	}
 	if c.MaxInlineBytes <= 0 {
 		c.MaxInlineBytes = 8 << 10
 	}
--- a/serving/dispatch/core.go
+++ b/serving/dispatch/core.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/coord/retry"
 	"github.com/sycamorecourse/sycamorecourse/serving/admit"
 	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
 	"github.com/sycamorecourse/sycamorecourse/serving/intent"
@@ -22,6 +23,8 @@
 	entries   map[request.ID]*entry
 	bySeq     map[uint64]*entry
 	instances map[string]fleet.Instance
+	routed    map[string]bool // instances that the router knows
+	budget    *retry.Budget
 	lookups   map[request.ID]*lookup
 	timers    timers
 	lastSeq   uint64
@@ -44,6 +47,8 @@
 		bySeq:     make(map[uint64]*entry),
 		lookups:   make(map[request.ID]*lookup),
 		instances: make(map[string]fleet.Instance),
+		routed:    make(map[string]bool),
+		budget:    newBudget(cfg.Retry),
 		gateways:  1,
 	}
 }
@@ -63,10 +68,29 @@
 	}
 	c.catalog = newCatalog(configuration)
 	c.shareLimits()
+	c.chooseSubsets()
+	c.pump(now)
+}
+
+// chooseSubsets routes anew to all pools, known instances' pools included.
+func (c *Core) chooseSubsets() {
+	pools := make(map[name]bool)
 	for _, instance := range c.instances {
-		c.upsert(instance)
+		pools[name{instance.Member, instance.Pool}] = true
 	}
-	c.pump(now)
+	for pool := range pools {
+		c.chooseSubset(pool)
+	}
+}
+
+// newBudget makes a retry budget that is full, so that a gateway with few
+// requests can make the first retries at once.
+func newBudget(cfg retry.Config) *retry.Budget {
+	b := retry.NewBudget(cfg)
+	for b.Left() < cfg.Burst {
+		b.Earn()
+	}
+	return b
 }
 
 // SetGateways tells the number of live gateways, this one included, that share
