fleet: a new holder starts from what the gateways were told

Cause: the view that the processes share goes on under a new fencing number, so instances that the former holder had shown and the new one does not know would have stayed for good; and without its list a new holder would have removed all. Change: the fleet duty follows what was passed on by whichever controller, removes what it does not know, and publishes only with list and ledgers read.

--- a/daemon/controller/controller.go
+++ b/daemon/controller/controller.go
@@ -92,7 +92,7 @@
 // Link makes the controller open links to other processes. It comes before
 // Open, and fails with a *keys.LoadError.
 func (c *Controller) Link() error {
-	l, err := newLinks(c.settings, c.incarnation, c.planner.inbox, c.log, c.registry)
+	l, err := newLinks(c.settings, c.incarnation, c.planner.inbox, c.fleet.inbox, c.log, c.registry)
 	if err != nil {
 		return err
 	}
--- a/daemon/controller/fleet.go
+++ b/daemon/controller/fleet.go
@@ -64,7 +64,8 @@
 	loading      bool
 	cursor       uint64
 	listed       bool
-	// published is what the gateways were told under a fencing number.
+	// published is what the gateways were told, the last time under a fencing
+	// number of this process.
 	published   map[string]fleet.Instance
 	publishedOf uint64
 	// liveSince is when each live instance was first seen live.
@@ -96,6 +97,7 @@
 		waves:         reclaim.NewWaves(),
 		backoff:       place.NewBackoff(),
 		serving:       make(map[string]bool),
+		published:     make(map[string]fleet.Instance),
 		keepers:       make(map[row.Key]*poolKeeper),
 	}
 	f.calls = &calls{inbox: f.inbox}
@@ -133,6 +135,8 @@
 	case e.serving != nil:
 		f.serving = e.serving.instances
 		f.wake()
+	case e.followed != nil:
+		f.takeFollowed(e.followed)
 	case e.stop:
 		f.stop()
 	case e.dump != nil:
--- a/daemon/controller/fleet_event.go
+++ b/daemon/controller/fleet_event.go
@@ -12,6 +12,7 @@
 	resume        func()
 	configuration *intent.Configuration
 	serving       *servingNews
+	followed      *followedNews
 	stop          bool
 	dump          *ring.Ring[report.Section]
 }
--- a/daemon/controller/fleet_report.go
+++ b/daemon/controller/fleet_report.go
@@ -19,7 +19,8 @@
 	instances := f.view.Instances()
 	g := f.lease.grant()
 	f.noteLive(instances)
-	if g.isValid(now) {
+	// Without the list and the ledgers, instances that exist would be removed.
+	if g.isValid(now) && f.listed && f.ledgersOf == g.fence {
 		f.publishChanges(g.fence, instances)
 	}
 	if now.Before(f.nextReport) {
@@ -53,36 +54,41 @@
 	return micros
 }
 
-// publishChanges passes on what differs from what was published under the same
-// fencing number; under a new one that is everything.
-func (f *fleetDuty) publishChanges(epoch uint64, instances []fleet.Instance) {
-	if f.published == nil || f.publishedOf != epoch {
-		f.published, f.publishedOf = make(map[string]fleet.Instance), epoch
+// takeFollowed notes what the gateways were told, by this or another holder.
+func (f *fleetDuty) takeFollowed(n *followedNews) {
+	for _, i := range n.upserts {
+		f.published[i.ID] = i
+	}
+	for _, id := range n.removed {
+		delete(f.published, id)
 	}
+}
+
+// publishChanges passes on what differs from what the gateways were told. A new
+// fencing number is always passed on, so that news of the former holder is
+// dropped.
+func (f *fleetDuty) publishChanges(epoch uint64, instances []fleet.Instance) {
+	next := make(map[string]fleet.Instance, len(instances))
 	var upserts []fleet.Instance
-	present := make(map[string]bool, len(instances))
 	for _, i := range instances {
-		present[i.ID] = true
 		i.State = f.publicState(i)
+		next[i.ID] = i
 		if f.published[i.ID] != i {
-			f.published[i.ID] = i
 			upserts = append(upserts, i)
 		}
 	}
 	var removed []string
 	for id := range f.published {
-		if !present[id] {
-			delete(f.published, id)
+		if _, ok := next[id]; !ok {
 			removed = append(removed, id)
 		}
 	}
-	if len(upserts)+len(removed) == 0 {
+	isSame := len(upserts)+len(removed) == 0 && f.publishedOf == epoch
+	if isSame || f.followers.PublishFleet(epoch, upserts, removed) != nil {
+		// What was refused differs still at the next step.
 		return
 	}
-	if f.followers.PublishFleet(epoch, upserts, removed) != nil {
-		// All is published again at the next step.
-		f.published = nil
-	}
+	f.published, f.publishedOf = next, epoch
 }
 
 // publicState holds an engine back from the gateways until it can serve. One of
--- a/daemon/controller/fleet_test.go
+++ b/daemon/controller/fleet_test.go
@@ -195,12 +195,16 @@
 		Expect(w.shown).To(HaveEach(HaveField("State", fleet.Live)))
 
 		next := w.start()
+		gone := fleet.Instance{ID: "i-gone", State: fleet.Live}
+		w.shown[gone.ID] = gone
+		next.handle(fleetEvent{followed: &followedNews{upserts: []fleet.Instance{gone}}})
 		for range 30 {
 			w.clock.Advance(time.Second)
 			tick(next)
 			Expect(w.shown).To(HaveEach(HaveField("State", fleet.Live)))
 		}
 		Expect(w.epoch).To(BeEquivalentTo(2))
+		Expect(w.shown).NotTo(HaveKey("i-gone"))
 	})
 
 	It("ends the instances of a pool that is no longer wanted, after a drain", func() {
--- a/daemon/controller/links.go
+++ b/daemon/controller/links.go
@@ -21,7 +21,7 @@
 }
 
 // newLinks makes the links of a controller. It fails with a *keys.LoadError.
-func newLinks(s *Settings, incarnation uint64, planner *ring.Ring[plannerEvent], log zerolog.Logger, registry prometheus.Registerer) (*links, error) {
+func newLinks(s *Settings, incarnation uint64, planner *ring.Ring[plannerEvent], fleet *ring.Ring[fleetEvent], log zerolog.Logger, registry prometheus.Registerer) (*links, error) {
 	files := keys.Files{Certificate: s.CertificateFile, Key: s.KeyFile, Authority: s.AuthorityFile}
 	config, err := keys.Load(files, link.Protocol)
 	if err != nil {
@@ -29,7 +29,7 @@
 	}
 	followed := follow.New(follow.Config{
 		Spread:   spread.Config{Seeds: s.Peers},
-		Deliver:  func(u follow.Update) error { return deliver(planner, u) },
+		Deliver:  func(u follow.Update) error { return deliver(planner, fleet, u) },
 		Log:      log,
 		Registry: registry,
 	})
@@ -50,13 +50,19 @@
 	return &links{link: linked, follow: followed}, nil
 }
 
-// deliver passes the list of processes on to the planner. Configurations and
-// instances are known to the controllers from the table service and the cloud.
-func deliver(planner *ring.Ring[plannerEvent], u follow.Update) error {
-	if u.Members == nil {
+// deliver passes the list of processes on to the planner, and what the gateways
+// were told of the instances to the fleet duty. Configurations are known to the
+// controllers from the table service.
+func deliver(planner *ring.Ring[plannerEvent], fleet *ring.Ring[fleetEvent], u follow.Update) error {
+	if u.Members != nil {
+		if err := planner.Offer(plannerEvent{processes: &processNews{members: u.Members}}); err != nil {
+			return err
+		}
+	}
+	if len(u.Upserts)+len(u.Removed) == 0 {
 		return nil
 	}
-	return planner.Offer(plannerEvent{processes: &processNews{members: u.Members}})
+	return fleet.Offer(fleetEvent{followed: &followedNews{upserts: u.Upserts, removed: u.Removed}})
 }
 
 // open opens the socket and starts the duties in a group.
