--- a/ctl/command/register.go
+++ b/ctl/command/register.go
@@ -24,5 +24,6 @@
 	commander.Register(&Request{}, "callers")
 	commander.Register(&Dump{}, "")
 	commander.Register(&Standin{}, "")
+	commander.Register(&Keys{}, "")
 	commander.Register(&Version{}, "")
 }
--- a/daemon/controller/fleet_report.go
+++ b/daemon/controller/fleet_report.go
@@ -2,11 +2,14 @@
 
 import (
 	"sort"
+	"time"
 
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/daemon/report"
 	"github.com/sycamorecourse/sycamorecourse/edge/operator"
 	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
 	"github.com/sycamorecourse/sycamorecourse/serving/intent"
+	"github.com/sycamorecourse/sycamorecourse/serving/price"
 )
 
 // report passes on what is known: to the gateways at once, while the lease is
@@ -15,6 +18,7 @@
 	now := f.clock.Now()
 	instances := f.view.Instances()
 	g := f.lease.grant()
+	f.noteLive(instances)
 	if g.isValid(now) {
 		f.publishChanges(g.fence, instances)
 	}
@@ -26,7 +30,7 @@
 	_ = f.planner.Offer(plannerEvent{fleet: &fleetNews{
 		version:   f.configuration.Version,
 		instances: instances,
-		prices:    f.prices,
+		prices:    f.knownPrices(),
 		pools:     f.poolStatus(instances),
 		leases:    f.leaseStatus(),
 	}})
@@ -34,6 +38,14 @@
 	f.counters.cost.Set(float64(costOf(instances)))
 }
 
+// knownPrices returns the prices once the list was read too: a plan needs both.
+func (f *fleetDuty) knownPrices() price.List {
+	if !f.listed {
+		return nil
+	}
+	return f.prices
+}
+
 func costOf(instances []fleet.Instance) (micros int64) {
 	for _, i := range instances {
 		micros += i.MicrosPerHour
@@ -64,28 +76,59 @@
 			removed = append(removed, id)
 		}
 	}
-	if len(upserts)+len(removed) > 0 {
-		f.publish.PublishFleet(epoch, upserts, removed)
+	if len(upserts)+len(removed) == 0 {
+		return
+	}
+	if f.followers.PublishFleet(epoch, upserts, removed) != nil {
+		// All is published again at the next step.
+		f.published = nil
 	}
 }
 
-// publicState holds an engine back from the gateways until it serves what the
-// configuration wants.
+// publicState holds an engine back from the gateways until it can serve. One of
+// which that is not known, as after a change of the holder, is held back only
+// while it is new.
 func (f *fleetDuty) publicState(i fleet.Instance) fleet.State {
-	if i.State == fleet.Live && f.isEngine(i) && !f.serving[i.ID] {
-		return fleet.Starting
+	if i.State != fleet.Live || !f.isEngine(i) {
+		return i.State
+	}
+	canServe, known := f.serving[i.ID]
+	if !known {
+		canServe = f.clock.Now().Sub(f.liveSince[i.ID]) > readLimit
+	}
+	if canServe {
+		return fleet.Live
+	}
+	return fleet.Starting
+}
+
+// readLimit is the time in which the state of a new engine is read.
+const readLimit = 3 * time.Second
+
+// noteLive notes when each instance was first seen live.
+func (f *fleetDuty) noteLive(instances []fleet.Instance) {
+	since := make(map[string]clock.Instant, len(instances))
+	for _, i := range instances {
+		if i.State != fleet.Live {
+			continue
+		}
+		at, ok := f.liveSince[i.ID]
+		if !ok {
+			at = f.clock.Now()
+		}
+		since[i.ID] = at
 	}
-	return i.State
+	f.liveSince = since
 }
 
 func (f *fleetDuty) isEngine(i fleet.Instance) bool {
-	p, ok := f.pools()[ledgerKey(i.Member, i.Pool)]
+	p, ok := f.pools[ledgerKey(i.Member, i.Pool)]
 	return ok && p.pool.Kind == intent.Engine
 }
 
 func (f *fleetDuty) poolStatus(instances []fleet.Instance) []operator.PoolStatus {
 	list := []operator.PoolStatus{}
-	for key, p := range f.pools() {
+	for key, p := range f.pools {
 		s := operator.PoolStatus{Member: p.member, Pool: p.pool.Name, Wanted: p.pool.Replicas}
 		if k := f.keepers[key]; k != nil && k.target.Total() > 0 {
 			s.Wanted = k.target.Total()
--- a/daemon/controller/fleet_test.go
+++ b/daemon/controller/fleet_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -16,6 +17,7 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/intent"
 	"github.com/sycamorecourse/sycamorecourse/serving/place"
 	"github.com/sycamorecourse/sycamorecourse/serving/price"
+	"github.com/sycamorecourse/sycamorecourse/serving/spread"
 )
 
 // world is a table, a cloud and a clock that fleet duties share.
@@ -25,8 +27,28 @@
 	cloud         *memoryCloud
 	configuration *intent.Configuration
 	runs          uint64
+	// shown is what the gateways were told last, under an epoch.
+	shown   map[string]fleet.Instance
+	epoch   uint64
+	serving map[string]bool
 }
 
+// world is followers that keep what they were told.
+func (w *world) PublishConfiguration(*intent.Configuration) error { return nil }
+
+func (w *world) PublishFleet(epoch uint64, upserts []fleet.Instance, removed []string) error {
+	w.epoch = epoch
+	for _, i := range upserts {
+		w.shown[i.ID] = i
+	}
+	for _, id := range removed {
+		delete(w.shown, id)
+	}
+	return nil
+}
+
+func (w *world) Await(uint64, time.Duration, *ring.Ring[spread.Progress]) error { return nil }
+
 const agreed = intent.Micros(4_400_000)
 
 // newWorld has one pool of 6 replicas over 3 failure domains. Reclaimable
@@ -43,6 +65,8 @@
 		clock:         manual,
 		table:         newMemoryTable(),
 		cloud:         newMemoryCloud(offers(&document)),
+		shown:         map[string]fleet.Instance{},
+		serving:       map[string]bool{},
 		configuration: &intent.Configuration{Version: 1, TotalMicrosPerHour: agreed, Documents: []intent.Document{document}},
 	}
 }
@@ -60,7 +84,7 @@
 	f := newFleetDuty(settings, zerolog.Nop(), w.table, w.cloud, holder, w.clock, w.now)
 	f.planner = ring.New[plannerEvent]("planner", 1)
 	f.orders = ring.New[ordersEvent]("orders", 1)
-	f.publish = alone{}
+	f.followers = w
 	f.counters = newCounters(prometheus.NewRegistry())
 	f.configure(w.configuration)
 	return f
@@ -136,13 +160,56 @@
 		}
 	})
 
+	It("replaces what is lost without a notice, once the list lacks it for long enough", func() {
+		w := newWorld()
+		f := w.start()
+		w.settle(f)
+		for id, i := range w.cloud.instances {
+			if i.FailureDomain == "b" {
+				delete(w.cloud.instances, id)
+			}
+		}
+		w.settle(f)
+		Expect(w.live()).To(Equal(6))
+		Expect(w.cloud.starts).To(Equal(8))
+	})
+
+	It("shows engines to the gateways once they can serve, and keeps them shown at a change of the holder", func() {
+		w := newWorld()
+		w.configuration.Documents[0].Pools[0].Kind = intent.Engine
+		f := w.start()
+		w.settle(f)
+		for id := range w.cloud.instances {
+			w.serving[id] = false
+		}
+		f.handle(fleetEvent{serving: &servingNews{instances: w.serving}})
+		tick(f)
+		Expect(w.shown).To(HaveLen(6))
+		Expect(w.shown).To(HaveEach(HaveField("State", fleet.Starting)))
+		serving := map[string]bool{}
+		for id := range w.cloud.instances {
+			serving[id] = true
+		}
+		f.handle(fleetEvent{serving: &servingNews{instances: serving}})
+		tick(f)
+		Expect(w.shown).To(HaveEach(HaveField("State", fleet.Live)))
+
+		next := w.start()
+		for range 30 {
+			w.clock.Advance(time.Second)
+			tick(next)
+			Expect(w.shown).To(HaveEach(HaveField("State", fleet.Live)))
+		}
+		Expect(w.epoch).To(BeEquivalentTo(2))
+	})
+
 	It("ends the instances of a pool that is no longer wanted, after a drain", func() {
 		w := newWorld()
 		f := w.start()
 		w.settle(f)
 		w.configuration = &intent.Configuration{Version: 2, TotalMicrosPerHour: agreed}
 		f.configure(w.configuration)
-		for range int(endDrain/time.Second) - 1 {
+		for range int(minDrain/time.Second) - 1 {
 			w.clock.Advance(time.Second)
 			tick(f)
 		}
@@ -152,6 +219,61 @@
 		Expect(w.live()).To(BeZero())
 	})
 
+	It("figures: rows read and written in a quiet minute", func() {
+		w := newWorld()
+		holder, standby := w.start(), w.start()
+		w.settle(holder)
+		count := func(f *fleetDuty) (reads, writes float64) {
+			const minutes = 10
+			w.table.reads, w.table.writes = 0, 0
+			for range minutes * 60 {
+				w.clock.Advance(time.Second)
+				tick(f)
+			}
+			return float64(w.table.reads) / minutes, float64(w.table.writes) / minutes
+		}
+		reads, writes := count(holder)
+		fmt.Fprintf(GinkgoWriter, "holder, one member: %.1f rows read and %.1f written a minute\n", reads, writes)
+		// The lease of the holder must not end meanwhile: only reads are counted.
+		tick(holder)
+		w.table.reads = 0
+		for range 60 {
+			w.clock.Advance(time.Second)
+			before := w.table.reads
+			tick(holder)
+			w.table.reads = before
+			tick(standby)
+		}
+		fmt.Fprintf(GinkgoWriter, "standby: %d rows read a minute\n", w.table.reads)
+		Expect(writes).To(BeNumerically("<", 120))
+	})
+
+	It("figures: processor time of a quiet tick at the size of two years on", func() {
+		w := newWorld()
+		template := w.configuration.Documents[0]
+		pools := make([]intent.Pool, 20)
+		for i := range pools {
+			pools[i] = template.Pools[0]
+			pools[i].Name = fmt.Sprintf("pool-%d", i)
+			pools[i].Replicas = 45
+		}
+		template.Pools = pools
+		const budget = 10_000_000_000
+		template.Budget.MicrosPerHour = budget
+		w.configuration = &intent.Configuration{Version: 1, TotalMicrosPerHour: budget, Documents: []intent.Document{template}}
+		f := w.start()
+		w.settle(f)
+		Expect(w.live()).To(Equal(900))
+		const ticks = 200
+		start := time.Now()
+		for range ticks {
+			w.clock.Advance(time.Second)
+			w.cloud.copyList()
+			tick(f)
+		}
+		fmt.Fprintf(GinkgoWriter, "900 instances in 20 pools: %v a tick\n", time.Since(start)/ticks)
+	})
+
 	It("never buys more than agreed, and loses nothing for good, under faults", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			w := newWorld()
--- a/proof/bench/result.go
+++ b/proof/bench/result.go
@@ -13,6 +13,8 @@
 	Offered int
 	// Good answers met the latency target and the deadline.
 	Good int
+	// GoodAtEngines counts those of model engines.
+	GoodAtEngines int
 	// Late answers were whole but missed one of them.
 	Late int
 	// Refused requests were not run.
@@ -21,6 +23,8 @@
 	Failed int
 	// Attempts counts what was sent to upstreams, of Dispatched requests.
 	Attempts, Dispatched int
+	// Hedges counts second attempts sent beside a slow first one.
+	Hedges int
 	// Recomputed counts prompt tokens computed before, and tokens lost.
 	Recomputed int
 	// Jain is the fairness between customers: 1 is even.
@@ -86,6 +90,12 @@
 	}
 }
 
+func (r *Result) hedged(j *job) {
+	if j.isMeasured() {
+		r.Hedges++
+	}
+}
+
 func (r *Result) countAttempts(j *job) {
 	r.Dispatched++
 	r.Attempts += j.sent
@@ -102,6 +112,9 @@
 		return
 	}
 	r.Good++
+	if len(j.blocks) > 0 {
+		r.GoodAtEngines++
+	}
 	r.class(j).Good++
 }
 
--- a/serving/dispatch/core_test.go
+++ b/serving/dispatch/core_test.go
@@ -124,8 +124,11 @@
 		send := take[dispatch.Send](f)
 		f.core.Piece(send.Ref, 0, 2, "a b ", f.now)
 		f.core.Failed(send.Ref, dispatch.Failure{Kind: dispatch.Broken}, f.now)
-		Expect(take[dispatch.Reattach](f).FromToken).To(Equal(2))
-		f.core.Failed(send.Ref, dispatch.Failure{Kind: dispatch.NotSent}, f.now)
+		again := take[dispatch.Reattach](f)
+		Expect(again.FromToken).To(Equal(2))
+		f.core.Failed(send.Ref, dispatch.Failure{Kind: dispatch.Broken}, f.now)
+		Expect(has[dispatch.Send](f)).To(BeFalse())
+		f.core.Failed(again.Ref, dispatch.Failure{Kind: dispatch.NotSent}, f.now)
 		second := take[dispatch.Send](f)
 		Expect(second.Address).NotTo(Equal(send.Address))
 		Expect(second.ResumeTokens).To(Equal(2))
@@ -166,8 +169,7 @@
 		send := take[dispatch.Send](f)
 		Expect(f.core.MaySend(send.Ref, f.now)).To(BeTrue())
 		f.core.Failed(send.Ref, dispatch.Failure{Kind: dispatch.Broken}, f.now)
-		Expect(has[dispatch.Reattach](f)).To(BeTrue())
-		f.core.Failed(send.Ref, dispatch.Failure{Kind: dispatch.Gone}, f.now)
+		f.core.Failed(take[dispatch.Reattach](f).Ref, dispatch.Failure{Kind: dispatch.Gone}, f.now)
 		finish := take[dispatch.Finish](f)
 		Expect(finish.Summary.Outcome()).To(Equal(request.Unknown))
 		f.arrive(2, "k", false)
@@ -237,6 +239,9 @@
 		f.arrive(2, "k", true)
 		Expect(take[dispatch.Attach](f).Handle).To(Equal(dispatch.Handle(2)))
 		f.core.Resume(3, request.ID{Customer: "noranbus/other", Key: "k"}, 0, f.now)
+		read := take[dispatch.ReadRow](f)
+		Expect(read.Key.String()).To(ContainSubstring("noranbus/other"))
+		f.core.ReadResult(read.ID, read.Serial, row.Row{Key: read.Key}, nil, f.now)
 		Expect(take[dispatch.Refuse](f).Refusal.Reason).To(Equal(request.NotFound))
 	})
 
@@ -366,9 +371,15 @@
 		begin(false)
 		export := take[dispatch.Export](f)
 		f.core.Exported(export.Ref, []byte("cache"), f.now)
-		for range 3 {
-			imports := take[dispatch.Import](f)
-			f.core.ImportFailed(imports.Ref, dispatch.Failure{Kind: dispatch.Broken}, f.now)
+		// A replica that fails is left alone for a while, so time passes between
+		// the tries, up to the deadline at the latest.
+		for !has[dispatch.Finish](f) {
+			Expect(has[dispatch.Send](f)).To(BeFalse())
+			if has[dispatch.Import](f) {
+				f.core.ImportFailed(take[dispatch.Import](f).Ref, dispatch.Failure{Kind: dispatch.Broken}, f.now)
+			}
+			f.now = f.now.Add(time.Second)
+			f.core.Tick(f.now)
 		}
 		Expect(take[dispatch.Finish](f).Summary.Outcome()).To(Equal(request.Unknown))
 	})
--- a/serving/reclaim/view.go
+++ b/serving/reclaim/view.go
@@ -25,6 +25,8 @@
 type View struct {
 	entries map[string]*entry
 	notices map[string]*noted
+	// sorted is the list of Instances; nil after a change.
+	sorted []fleet.Instance
 }
 
 // NewView makes an empty view.
@@ -32,8 +34,10 @@
 	return &View{entries: make(map[string]*entry), notices: make(map[string]*noted)}
 }
 
-// List takes the list of instances as it was read.
-func (v *View) List(list []fleet.Instance, now clock.Instant) {
+// List takes the list of instances as it was read. The wall clock is compared
+// with the ends that notices name.
+func (v *View) List(list []fleet.Instance, now clock.Instant, wall time.Time) {
+	v.sorted = nil
 	listed := make(map[string]bool, len(list))
 	for _, i := range list {
 		listed[i.ID] = true
@@ -41,7 +45,7 @@
 	}
 	for id, e := range v.entries {
 		if !listed[id] {
-			v.missing(id, e, now)
+			v.missing(id, e, now, wall)
 		}
 	}
 	for id, n := range v.notices {
@@ -57,6 +61,7 @@
 	if ok && (n.Ends.IsZero() || (!known.Ends.IsZero() && !n.Ends.Before(known.Ends))) {
 		return false
 	}
+	v.sorted = nil
 	v.notices[n.Instance] = &noted{Notice: n, at: now}
 	if e := v.entries[n.Instance]; e != nil {
 		e.leave(n.Ends)
@@ -67,26 +72,36 @@
 // Start takes an instance that was started and may not be listed yet.
 func (v *View) Start(i fleet.Instance, now clock.Instant) {
 	if v.entries[i.ID] == nil {
+		v.sorted = nil
 		v.take(i, now)
 	}
 }
 
 // Leave marks an instance that is to be ended.
 func (v *View) Leave(id string, ends time.Time) {
-	if e := v.entries[id]; e != nil {
-		e.leave(ends)
+	if e := v.entries[id]; e != nil && e.leave(ends) {
+		v.sorted = nil
 	}
 }
 
 // End marks an instance that was ended.
 func (v *View) End(id string) {
 	if e := v.entries[id]; e != nil {
+		v.sorted = nil
 		e.instance.State = fleet.Gone
 	}
 }
 
-// Instances lists all instances that are not gone, by ID.
+// Instances lists all instances that are not gone, by ID. The list must not be
+// changed; it stays as it is when the view changes.
 func (v *View) Instances() []fleet.Instance {
+	if v.sorted == nil {
+		v.sorted = v.sort()
+	}
+	return v.sorted
+}
+
+func (v *View) sort() []fleet.Instance {
 	list := make([]fleet.Instance, 0, len(v.entries))
 	for _, e := range v.entries {
 		if e.instance.State != fleet.Gone {
@@ -119,14 +134,17 @@
 	e.update(i)
 }
 
-// missing takes note that the list lacks an instance.
-func (v *View) missing(id string, e *entry, now clock.Instant) {
+// missing takes note that the list lacks an instance. One whose announced end
+// has passed is gone; others may not be listed yet.
+func (v *View) missing(id string, e *entry, now clock.Instant, wall time.Time) {
 	limit := listLag
-	if e.instance.State == fleet.Starting {
+	switch {
+	case e.hasEnded(wall):
+		limit = 0
+	case e.instance.State == fleet.Starting:
 		limit = startLimit
 	}
-	if now.Sub(e.seen) <= limit {
-		return
+	if now.Sub(e.seen) > limit {
+		delete(v.entries, id)
 	}
-	delete(v.entries, id)
 }
--- a/serving/route/selection.go
+++ b/serving/route/selection.go
@@ -1,8 +1,10 @@
 package route
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
 )
 
@@ -10,12 +12,24 @@
 // to lie for the cheapest replica to be taken.
 const slackPart = 0.5
 
+// waitTokens is the least number of prompt tokens to be saved for which a job
+// waits for a saturated replica.
+const waitTokens = 256
+
+// lateMargin is kept before the deadline by a job that waits past its target.
+const lateMargin = time.Second
+
 // selection is the best candidate so far of one call of Choose.
 type selection struct {
 	policy Policy
 	job    *Job
+	rand   *rand.Rand
+	now    clock.Instant
 	call   uint64
 	best   candidate
+	// saturated is the candidate without room that has the fewest prompt tokens
+	// to compute.
+	saturated candidate
 	// live and tried count the upstreams that take work, and those of them that
 	// the job has tried.
 	live, tried int
@@ -31,15 +45,28 @@
 		s.tried++
 		return
 	}
-	if u.isSaturated() {
+	if !s.isHealthy(u) {
 		return
 	}
 	c := s.candidate(u)
+	if u.isSaturated(s.job, c.uncached) {
+		if s.saturated.upstream == nil || c.uncached < s.saturated.uncached {
+			s.saturated = c
+		}
+		return
+	}
 	if s.best.upstream == nil || s.isBetter(&c, &s.best) {
 		s.best = c
 	}
 }
 
+// isHealthy draws whether an upstream that returns from an ejection takes part
+// in this choice. An ejected one does not.
+func (s *selection) isHealthy(u *upstream) bool {
+	weight := u.pool.health.Weight(&u.health, s.now)
+	return weight >= 1 || weight > 0 && s.rand.Float64() < weight
+}
+
 func (s *selection) candidate(u *upstream) candidate {
 	c := candidate{upstream: u, uncached: s.job.PromptTokens}
 	if u.matchedIn == s.call {
@@ -47,10 +74,8 @@
 		c.uncached -= c.cached
 	}
 	c.ordinary = u.ordinaryFirstToken(c.uncached)
-	slowness := u.slowness()
-	c.predicted = time.Duration(float64(c.ordinary) * slowness)
-	work := float64(time.Duration(c.uncached)*timePerToken) * slowness
-	c.cost = work * float64(max(u.replica.MicrosPerHour, 1))
+	c.predicted = time.Duration(float64(c.ordinary) * u.slowness())
+	c.cost = float64(u.computeTime(c.uncached)) * float64(max(u.replica.MicrosPerHour, 1))
 	return c
 }
 
@@ -89,6 +114,28 @@
 	}
 }
 
+// waits reports whether the job is to wait for a saturated replica that holds
+// more of its prompt than the best one with room.
+func (s *selection) waits() bool {
+	if s.saturated.upstream == nil || s.best.upstream == nil {
+		return false
+	}
+	if s.best.uncached-s.saturated.uncached < waitTokens {
+		return false
+	}
+	return s.hasTime()
+}
+
+// hasTime reports whether the best replica with room would still meet the
+// latency target, or the deadline where there is no target to meet.
+func (s *selection) hasTime() bool {
+	if s.job.LatencyTarget > 0 {
+		return s.job.LatencyTarget > s.best.predicted
+	}
+	answer := time.Duration(s.job.MaxTokens) * s.best.upstream.tokenTime()
+	return s.job.Remaining > s.best.predicted+answer+lateMargin
+}
+
 func (s *selection) failure() error {
 	if s.live == s.tried {
 		return &NoReplicaError{Pool: s.job.Pool, Model: s.job.Model, Tried: s.tried}
