--- a/coord/attempt/claim_test.go
+++ b/coord/attempt/claim_test.go
@@ -219,6 +219,17 @@
 		Expect(t.record().State).To(Equal(attempt.Completed))
 	})
 
+	It("removes the row of an old request, and no other", func() {
+		sent()
+		change, ok := attempt.Removal(t.Row, ask.Created+1)
+		Expect(ok).To(BeTrue())
+		Expect(change).To(Equal(row.Change{Key: ask.ID.Row(), Expect: 1, Delete: true}))
+		_, ok = attempt.Removal(t.Row, ask.Created)
+		Expect(ok).To(BeFalse())
+		_, ok = attempt.Removal(row.Row{}, ask.Created+1)
+		Expect(ok).To(BeFalse())
+	})
+
 	It("lets at most one of many claims send, under any order of lost answers", func() {
 		rapid.Check(GinkgoT(), func(rt *rapid.T) {
 			t := &table{}
