--- a/coord/attempt/claim_test.go
+++ b/coord/attempt/claim_test.go
@@ -14,7 +14,7 @@
 )
 
 var (
-	window = attempt.Window{Length: 2 * time.Second, Margin: 100 * time.Millisecond}
+	window = attempt.DefaultWindow()
 	ask    = attempt.Request{
 		ID:          attempt.ID{Customer: "noranbus/academy", Key: "boarding-7"},
 		Fingerprint: attempt.FingerprintOf([]byte("confirm"), []byte("7")),
@@ -219,6 +219,15 @@
 		Expect(t.record().State).To(Equal(attempt.Completed))
 	})
 
+	It("refuses over a row that is no record", func() {
+		a.Begin(start)
+		a.Written(&row.ConflictError{}, start)
+		var invalid *attempt.InvalidRecordError
+		step := a.ReadResult(row.Row{Version: 3, Value: []byte("?")}, nil, start)
+		Expect(step).To(HaveField("Err", BeAssignableToTypeOf(invalid)))
+		Expect(a.MaySend(start)).NotTo(Succeed())
+	})
+
 	It("removes the row of an old request, and no other", func() {
 		sent()
 		change, ok := attempt.Removal(t.Row, ask.Created+1)
--- a/coord/attempt/example_test.go
+++ b/coord/attempt/example_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/attempt"
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
@@ -10,9 +9,8 @@
 
 // A booking is recorded before it is sent, and its answer after.
 func Example() {
-	window := attempt.Window{Length: 2 * time.Second, Margin: 100 * time.Millisecond}
 	holder := attempt.Holder{Instance: "gateway-1", Incarnation: 41}
-	claim := attempt.NewClaim(window, holder, 1, attempt.Request{
+	claim := attempt.NewClaim(attempt.DefaultWindow(), holder, 1, attempt.Request{
 		ID:          attempt.ID{Customer: "quilters/depot", Key: "pickup-12"},
 		Fingerprint: attempt.FingerprintOf([]byte("book"), []byte("box 12")),
 	})
--- a/coord/attempt/window.go
+++ b/coord/attempt/window.go
@@ -16,6 +16,12 @@
 	Margin time.Duration
 }
 
+// DefaultWindow returns the window of a gateway. It leaves time for two tries of
+// the write and for the connection to the upstream.
+func DefaultWindow() Window {
+	return Window{Length: 2 * time.Second, Margin: 100 * time.Millisecond}
+}
+
 // deadline returns the end of the right to send of a claim begun at start.
 func (w Window) deadline(start clock.Instant) clock.Instant {
 	return start.Add(w.Length - w.Margin)
