lease, quota: a reused name and incarnation grants nothing

Cause: a second process of the same name and incarnation took the row for its own: it replaced the lease without the wait, and in the first seconds of its life counted as the holder of the slice. The floor of a slice was lost at a take-over, since the new holder held nothing yet. Change: a new version counts as own only while a write of this state machine may have landed, which includes one that met a conflict with itself. A grant of a former bearer of the name is spent from only after its renewal, which keeps what is committed.

--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -64,6 +64,8 @@
 	case err == nil:
 		return l.applied(now)
 	case errors.As(err, &conflict):
+		// The row may be the same write, delivered twice.
+		l.mayHaveWritten()
 		return l.read()
 	case errors.As(err, &unknown):
 		return l.unknown(err, now)
@@ -85,7 +87,7 @@
 	if err != nil {
 		return l.failed(err, now)
 	}
-	if record.Holder == l.holder && !record.Released {
+	if record.Holder == l.holder && !record.Released && l.isOwn(found.Version) {
 		return l.foundOwn(found.Version, record, now)
 	}
 	return l.foundOther(found.Version, record, now)
@@ -141,6 +143,16 @@
 	return l.put(Record{Holder: l.holder, Fence: 1}, now)
 }
 
+// isOwn reports whether a version that bears the name of the holder is of this
+// state machine: it is known as such, or new while a write may have landed.
+// Otherwise another process bears the same name and incarnation.
+func (l *Lease) isOwn(version uint64) bool {
+	if version == l.version {
+		return l.owned
+	}
+	return l.oldest != 0
+}
+
 func (l *Lease) foundOwn(version uint64, record Record, now clock.Instant) Step {
 	if version != l.version {
 		// One of the writes of unknown outcome has landed.
@@ -223,10 +235,17 @@
 	if l.oldest != 0 {
 		return l.failed(err, now)
 	}
-	l.oldest = l.started
+	l.mayHaveWritten()
 	return l.read()
 }
 
+// mayHaveWritten notes that the last write may make the next version.
+func (l *Lease) mayHaveWritten() {
+	if l.oldest == 0 {
+		l.oldest = l.started
+	}
+}
+
 func (l *Lease) failed(err error, now clock.Instant) Step {
 	if l.releasing {
 		return Ended{Err: err}
--- a/coord/lease/lease_test.go
+++ b/coord/lease/lease_test.go
@@ -136,6 +136,24 @@
 		Expect(lb.IsHeld(now)).To(BeTrue())
 	})
 
+	It("is not held by a second process of the same name and incarnation", func() {
+		t.next(la, start)
+		twin := lease.New("duty", config, a)
+		t.next(twin, start.Add(1))
+		Expect(twin.IsHeld(start.Add(1))).To(BeFalse())
+		late := start.Add(config.TTL + 1)
+		t.next(twin, late)
+		Expect(twin.Fence(late)).To(Equal(uint64(2)))
+	})
+
+	It("takes a conflict with its own write, delivered twice, for the write", func() {
+		write := la.ReadResult(row.Row{}, nil, start).(lease.Write)
+		Expect(t.apply(write.Transaction)).To(Succeed())
+		t.drive(la, la.Written(t.apply(write.Transaction), start.Add(time.Second)), start.Add(time.Second))
+		Expect(la.Fence(start.Add(time.Second))).To(Equal(uint64(1)))
+		Expect(la.Until()).To(Equal(start.Add(config.TTL - config.Margin)))
+	})
+
 	It("has at most one holder, and growing fences, under faults and pauses", func() {
 		rapid.Check(GinkgoT(), func(rt *rapid.T) {
 			expect := NewWithT(rt)
--- a/coord/quota/quota_test.go
+++ b/coord/quota/quota_test.go
@@ -151,6 +151,18 @@
 		Expect(b.Amount(now)).To(Equal(uint64(900)))
 	})
 
+	It("takes the grant of a former bearer of its name over by a renewal, with what is committed", func() {
+		t := &table{}
+		a, twin := newSlice("a", 900, 1), newSlice("a", 300, 1)
+		t.drive(a, a.Next(start), start)
+		twin.Ask(quota.Demand{Want: 300, Weight: 1}, 700)
+		Expect(twin.Next(start)).To(BeAssignableToTypeOf(lease.Read{}))
+		write := twin.ReadResult(t.Row, nil, start)
+		Expect(twin.Amount(start)).To(BeZero())
+		t.drive(twin, write, start)
+		Expect(twin.Amount(start)).To(Equal(uint64(700)))
+	})
+
 	It("keeps the total of the newest configuration that any holder knew", func() {
 		t := &table{}
 		a, b := newSlice("a", 900, 1), newSlice("b", 900, 1)
--- a/coord/quota/slice.go
+++ b/coord/quota/slice.go
@@ -51,7 +51,7 @@
 // the next renewal.
 func (s *Slice) Ask(demand Demand, floor uint64) {
 	s.demand = demand
-	s.floor = min(floor, s.amount)
+	s.floor = floor
 }
 
 // Configure takes the limit of a confirmed configuration and makes a renewal
@@ -117,6 +117,8 @@
 	case err == nil:
 		return s.applied(now)
 	case errors.As(err, &conflict):
+		// The row may be the same write, delivered twice.
+		s.mayHaveWritten()
 		return s.read()
 	case errors.As(err, &unknown):
 		return s.unknown(err, now)
@@ -152,9 +154,15 @@
 	case !ok:
 		s.sequence = 0
 		s.amount = 0
-	case own.Sequence != s.sequence:
+	case own.Sequence == s.sequence:
+	case s.oldest != 0:
 		// One of the writes of unknown outcome has landed.
 		s.own(own, s.oldest)
+	default:
+		// A former bearer of the same name wrote it. It is taken over by the
+		// renewal that follows and not spent from before.
+		s.sequence = own.Sequence
+		s.amount = 0
 	}
 	if version != s.version {
 		s.oldest = 0
@@ -257,10 +265,17 @@
 	if s.oldest != 0 {
 		return s.failed(err, now)
 	}
-	s.oldest = s.started
+	s.mayHaveWritten()
 	return s.read()
 }
 
+// mayHaveWritten notes that the last write may make the next version.
+func (s *Slice) mayHaveWritten() {
+	if s.oldest == 0 {
+		s.oldest = s.started
+	}
+}
+
 func (s *Slice) failed(err error, now clock.Instant) lease.Step {
 	if s.releasing {
 		return lease.Ended{Err: err}
