quota: say when a slice may be held under the name of a lease

Cause: two processes with one holder name both count the grant as held until it ends, so that only the lease keeps them apart. Change: the package comment says that each spending then checks the lease too.

--- a/coord/quota/doc.go
+++ b/coord/quota/doc.go
@@ -23,6 +23,11 @@
 //   - When the total is short, holders converge to weighted max-min fair shares:
 //     nobody gets more than it wants, and what is left is shared by weight.
 //
+// A duty that moves between processes under a lease may hold its slices under the
+// name of the lease in place of a process, so that the next process takes them
+// over at once. Then each spending must check the lease as well as the slice,
+// since the former process still counts its grant as held.
+//
 // An obligation that outlives its holder, such as an instance that was started
 // and goes on costing, is not part of the ledger once the grant has ended: the
 // successor must count what is running before it spends.
