--- a/coord/attempt/claim_test.go
+++ b/coord/attempt/claim_test.go
@@ -1,6 +1,7 @@
 package attempt_test
 
 import (
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -13,7 +14,7 @@
 )
 
 var (
-	window = attempt.Window{Length: 2 * time.Second, Margin: 100 * time.Millisecond}
+	window = attempt.DefaultWindow()
 	ask    = attempt.Request{
 		ID:          attempt.ID{Customer: "noranbus/academy", Key: "boarding-7"},
 		Fingerprint: attempt.FingerprintOf([]byte("confirm"), []byte("7")),
@@ -218,6 +219,26 @@
 		Expect(t.record().State).To(Equal(attempt.Completed))
 	})
 
+	It("refuses over a row that is no record", func() {
+		a.Begin(start)
+		a.Written(&row.ConflictError{}, start)
+		var invalid *attempt.InvalidRecordError
+		step := a.ReadResult(row.Row{Version: 3, Value: []byte("?")}, nil, start)
+		Expect(step).To(HaveField("Err", BeAssignableToTypeOf(invalid)))
+		Expect(a.MaySend(start)).NotTo(Succeed())
+	})
+
+	It("removes the row of an old request, and no other", func() {
+		sent()
+		change, ok := attempt.Removal(t.Row, ask.Created+1)
+		Expect(ok).To(BeTrue())
+		Expect(change).To(Equal(row.Change{Key: ask.ID.Row(), Expect: 1, Delete: true}))
+		_, ok = attempt.Removal(t.Row, ask.Created)
+		Expect(ok).To(BeFalse())
+		_, ok = attempt.Removal(row.Row{}, ask.Created+1)
+		Expect(ok).To(BeFalse())
+	})
+
 	It("lets at most one of many claims send, under any order of lost answers", func() {
 		rapid.Check(GinkgoT(), func(rt *rapid.T) {
 			t := &table{}
@@ -266,3 +287,16 @@
 		})
 	})
 })
+
+func BenchmarkClaim(b *testing.B) {
+	b.ReportAllocs()
+	for nonce := uint64(0); b.Loop(); nonce++ {
+		c := attempt.NewClaim(window, holderA, nonce, ask)
+		c.Begin(start)
+		c.Written(nil, start)
+		_ = c.MaySend(start)
+		_ = c.Sent()
+		_, _ = c.Complete(attempt.Answer{Digest: nonce})
+		c.Written(nil, start)
+	}
+}
