--- a/edge/link/close_code.go
+++ b/edge/link/close_code.go
@@ -43,8 +43,10 @@
 		return err
 	}
 	switch closed.ErrorCode {
-	case codeReleased, codeTooMany:
+	case codeReleased:
 		return &ReleasedError{Remote: true}
+	case codeTooMany:
+		return &TooManyError{Remote: true}
 	case codeShutdown:
 		return &ShutdownError{Remote: true}
 	case codeReplaced:
--- a/edge/link/config.go
+++ b/edge/link/config.go
@@ -23,7 +23,8 @@
 	defaultRetryBase      = 200 * time.Millisecond
 	defaultRetryMax       = 5 * time.Second
 	handshakeTimeout      = 3 * time.Second
-	visitTime             = time.Second
+	visitTime             = 500 * time.Millisecond
+	crowdedRetry          = time.Second
 	visitorShare          = 6
 	dialers               = 2
 	dialSlots             = 4
@@ -53,7 +54,7 @@
 	Registry prometheus.Registerer
 	// MaxLinks bounds the number of links. A sixth of them is kept for visitors:
 	// processes that link when all others are in use, learn the members and are
-	// released after a second.
+	// released after half a second.
 	MaxLinks int
 	// OutboundSlots is the number of messages that may wait for one peer.
 	OutboundSlots int
--- a/edge/link/dialings.go
+++ b/edge/link/dialings.go
@@ -1,6 +1,9 @@
 package link
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // dialings plans the attempts to connect to all targets.
 type dialings struct {
@@ -39,6 +42,15 @@
 	}
 }
 
+// crowded plans the next attempt to connect to a target that had no room. The
+// wait does not grow: room comes when other visitors are released.
+func (p *dialings) crowded(t Target) {
+	if d, ok := p.byAddress[t.Address]; ok {
+		d.busy = false
+		d.due = time.Now().Add(crowdedRetry/2 + rand.N(crowdedRetry/2))
+	}
+}
+
 // succeeded ends an attempt. If the link ends, the next attempt waits a little.
 func (p *dialings) succeeded(t Target) {
 	if d, ok := p.byAddress[t.Address]; ok {
--- a/edge/link/manager.go
+++ b/edge/link/manager.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/quic-go/quic-go"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
@@ -148,10 +149,15 @@
 		return
 	}
 	e.slot.session = nil
+	m.closeConn(s.conn, e.err)
+	var tooMany *TooManyError
+	if s.dialed != nil && errors.As(e.err, &tooMany) {
+		m.dialings.crowded(*s.dialed)
+		return
+	}
 	if _, isHandshake := e.err.(*HandshakeError); isHandshake {
 		m.links.config.Log.Warn().Str("address", s.address()).Err(e.err).Msg("link_refused")
 	}
-	m.closeConn(s.conn, e.err)
 	if s.dialed != nil {
 		m.dialings.failed(*s.dialed)
 	}
