--- a/proof/bench/variant.go
+++ b/proof/bench/variant.go
@@ -27,9 +27,10 @@
 		{Name: "least_requests+fifo", Route: route.Config{Policy: route.LeastRequests}, Admit: arrival},
 		{Name: "least_requests", Route: route.Config{Policy: route.LeastRequests}},
 		{Name: "predicted", Route: route.Config{Policy: route.Predicted}},
-		{Name: "predicted_cached-health", Route: route.Config{Policy: route.PredictedCached, Health: health.Config{Disabled: true}}},
-		{Name: "predicted_cached-hedge", Route: route.Config{Policy: route.PredictedCached}, Hedge: hedge.Config{Disabled: true}},
 		{Name: "predicted_cached", Route: route.Config{Policy: route.PredictedCached}},
+		{Name: "slack+fifo", Route: route.Config{Policy: route.Slack}, Admit: arrival},
+		{Name: "slack-health", Route: route.Config{Policy: route.Slack, Health: health.Config{Disabled: true}}},
+		{Name: "slack-hedge", Route: route.Config{Policy: route.Slack}, Hedge: hedge.Config{Disabled: true}},
 		{Name: "slack", Route: route.Config{Policy: route.Slack}},
 	}
 }
--- a/serving/route/policy.go
+++ b/serving/route/policy.go
@@ -21,7 +21,7 @@
 )
 
 // DefaultPolicy is the policy of a zero Config.
-const DefaultPolicy = PredictedCached
+const DefaultPolicy = Slack
 
 func (p Policy) isKnown() bool {
 	switch p {
--- a/serving/route/router.go
+++ b/serving/route/router.go
@@ -116,7 +116,8 @@
 }
 
 func (r *Router) applyCacheEvent(u *upstream, e CacheEvent, now clock.Instant) {
-	if e.Sequence <= u.cacheSequence {
+	restarted := e.Kind == CacheCleared
+	if e.Sequence <= u.cacheSequence && !restarted {
 		return
 	}
 	u.cacheSequence = e.Sequence
--- a/serving/route/selection.go
+++ b/serving/route/selection.go
@@ -10,7 +10,7 @@
 
 // slackPart is the part of the latency target within which the prediction has
 // to lie for the cheapest replica to be taken.
-const slackPart = 0.5
+const slackPart = 0.3
 
 // waitTokens is the least number of prompt tokens to be saved for which a job
 // waits for a saturated replica.
