No hedge while requests wait; learn by how much the predicted work is short

Cause: answers under load take longer than predicted, and were given up at their deadline after using an upstream.

--- a/proof/bench/gateway.go
+++ b/proof/bench/gateway.go
@@ -127,7 +127,7 @@
 	j.avoid = append(slices.Clone(avoid), a.choice.ID)
 	c, err := g.router.Choose(g.routeJob(j), g.sim.now)
 	j.avoid = avoid
-	if err == nil && g.hedges.Take() {
+	if err == nil && g.hedges.Take(g.queue.Waiting(j.class.Pool)) {
 		g.sim.result.hedged(j)
 		g.send(j, c)
 	}
--- a/serving/admit/line.go
+++ b/serving/admit/line.go
@@ -10,6 +10,12 @@
 // correction of predictions.
 const priorityClasses = 8
 
+// Parameters of the correction of the predicted work.
+const (
+	excessWeight   = 0.05
+	greatestExcess = 3.0
+)
+
 // line holds the flows of one pool, with weighted fair queueing between them.
 type line struct {
 	pool  string
@@ -22,6 +28,9 @@
 	waiting, running int
 	// firstToken corrects the predictions of the first token, by priority.
 	firstToken [priorityClasses]errorEstimate
+	// excess is how far the time at upstreams exceeds its predictions, as a
+	// part of them.
+	excess float64
 }
 
 func (l *line) add(f *flow) {
@@ -39,6 +48,20 @@
 	l.flows = l.flows[:last]
 }
 
+// observeWork learns from the time that an entry took.
+func (l *line) observeWork(observed, predicted time.Duration) {
+	if predicted <= 0 {
+		return
+	}
+	excess := float64(observed)/float64(predicted) - 1
+	l.excess += excessWeight * (min(max(excess, 0), greatestExcess) - l.excess)
+}
+
+// predict returns the expected time of an entry at an upstream.
+func (l *line) predict(e *Entry) time.Duration {
+	return e.PredictedWork + time.Duration(float64(e.PredictedWork)*l.excess)
+}
+
 // correction returns the estimate for entries of a priority.
 func (l *line) correction(priority int) *errorEstimate {
 	return &l.firstToken[min(max(priority, 0), priorityClasses-1)]
--- a/serving/admit/queue.go
+++ b/serving/admit/queue.go
@@ -151,6 +151,7 @@
 	f := q.flow(q.account(e.Customer), e.Pool)
 	f.account.inProgress--
 	f.charge(serviceTime - e.PredictedWork)
+	f.line.observeWork(serviceTime, e.PredictedWork)
 	q.stopRunning(f)
 	q.forgetFlow(f)
 }
--- a/serving/admit/queue_admission.go
+++ b/serving/admit/queue_admission.go
@@ -33,7 +33,7 @@
 		return nil
 	}
 	wait := f.line.wait(f, f.line.startBy(e))
-	late := now.Add(wait + e.PredictedWork).Sub(e.Deadline)
+	late := now.Add(wait + f.line.predict(&e)).Sub(e.Deadline)
 	if late <= 0 {
 		return nil
 	}
--- a/serving/admit/queue_items.go
+++ b/serving/admit/queue_items.go
@@ -9,16 +9,17 @@
 // deadline where it has no target.
 func (l *line) startBy(e Entry) clock.Instant {
 	if e.FirstTokenBy == 0 {
-		return expires(e)
+		return l.expires(e)
 	}
 	return e.FirstTokenBy.Add(-e.PredictedFirstToken - l.correction(e.Priority).margin())
 }
 
-func expires(e Entry) clock.Instant {
+// expires is the latest start by which an entry can meet its deadline.
+func (l *line) expires(e Entry) clock.Instant {
 	if e.Deadline == 0 {
 		return never
 	}
-	return e.Deadline.Add(-e.PredictedWork)
+	return e.Deadline.Add(-l.predict(&e))
 }
 
 func (q *Queue) insert(f *flow, e Entry) {
@@ -27,7 +28,7 @@
 	it.flow = f
 	it.late = false
 	it.startBy = f.line.startBy(e)
-	it.expires = expires(e)
+	it.expires = f.line.expires(e)
 	if q.cfg.ArrivalOrder {
 		it.startBy = e.Arrived
 	}
--- a/serving/hedge/budget.go
+++ b/serving/hedge/budget.go
@@ -30,9 +30,10 @@
 	return max(late, b.cfg.MinDelay), true
 }
 
-// Take spends a hedge if the budget has one.
-func (b *Budget) Take() bool {
-	if b.cfg.Disabled || b.tokens < 1 {
+// Take spends a hedge if the budget has one. While requests wait for the pool
+// its room is for them, and there is no hedge.
+func (b *Budget) Take(waiting int) bool {
+	if b.cfg.Disabled || waiting > 0 || b.tokens < 1 {
 		return false
 	}
 	b.tokens--
--- a/serving/hedge/budget_test.go
+++ b/serving/hedge/budget_test.go
@@ -19,6 +19,12 @@
 	})
 }
 
+func TestThereIsNoHedgeWhileRequestsWait(t *testing.T) {
+	if b := hedge.NewBudget(hedge.Config{}); b.Take(1) || !b.Take(0) {
+		t.Fatal("the budget does not heed the waiting requests")
+	}
+}
+
 func TestHedgesStayWithinTheShare(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		share := rapid.Float64Range(0.01, 0.5).Draw(t, "share")
@@ -28,7 +34,7 @@
 		hedges := 0
 		for range requests {
 			b.Request()
-			if b.Take() {
+			if b.Take(0) {
 				hedges++
 			}
 		}
