Try a replica that was slow again, as the observation of it ages

The scan limit is a parameter, and a benchmark compares drawing with scanning on large pools. The methods of flow are in its file.

--- a/proof/bench/member.go
+++ b/proof/bench/member.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/serving/admit"
@@ -76,3 +77,19 @@
 		OneWay:    900 * time.Microsecond,
 	}
 }
+
+// Scaled is a member with n times the replicas, the traffic and the prefixes.
+func Scaled(m Member, n int) Member {
+	pools := slices.Clone(m.Pools)
+	for i := range pools {
+		pools[i].Machines = slices.Repeat(pools[i].Machines, n)
+	}
+	classes := slices.Clone(m.Classes)
+	for i := range classes {
+		classes[i].PerSecond *= float64(n)
+		classes[i].Groups *= n
+	}
+	m.Pools = pools
+	m.Classes = classes
+	return m
+}
--- a/proof/bench/report_test.go
+++ b/proof/bench/report_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/sycamorecourse/sycamorecourse/proof/bench"
+	"github.com/sycamorecourse/sycamorecourse/serving/route"
 )
 
 var (
@@ -48,3 +49,16 @@
 		}
 	}
 }
+
+// BenchmarkSampling writes the table of docs/POLICY.md on large pools.
+func BenchmarkSampling(b *testing.B) {
+	const scale = 8
+	scan := route.Config{ScanLimit: 1000}
+	compared := []bench.Variant{{Name: "scan", Route: scan}, {Name: "sample"}}
+	for _, m := range []bench.Member{bench.Noranbus(), bench.Cooperative()} {
+		s := bench.Scenario{Name: "8x the replicas", Load: 1.5}
+		if err := bench.WriteReport(os.Stdout, bench.Scaled(m, scale), s, compared, 2); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/serving/admit/flow.go
+++ b/serving/admit/flow.go
@@ -92,3 +92,30 @@
 func (f *flow) isIdle() bool {
 	return f.len() == 0 && f.running == 0 && f.finish <= f.line.virtual
 }
+
+// isMoreUrgent compares the heads of two flows: by priority, then those on time
+// first, then by their latest start. Late ones are served by share.
+func (f *flow) isMoreUrgent(g *flow) bool {
+	a, b := f.head(), g.head()
+	if a.entry.Priority != b.entry.Priority {
+		return a.entry.Priority > b.entry.Priority
+	}
+	if a.late != b.late {
+		return b.late
+	}
+	if a.late {
+		return f.start() < g.start()
+	}
+	return a.startBy < b.startBy
+}
+
+// workBefore is the work of the flow that has to start before an instant.
+func (f *flow) workBefore(startBy clock.Instant) time.Duration {
+	var work time.Duration
+	for _, it := range f.onTime.items {
+		if it.startBy <= startBy {
+			work += it.entry.PredictedWork
+		}
+	}
+	return work
+}
--- a/serving/admit/line.go
+++ b/serving/admit/line.go
@@ -30,7 +30,7 @@
 	firstToken [priorityClasses]errorEstimate
 	// excess is how far the time at upstreams exceeds its predictions, as a
 	// part of them.
-	excess float64
+	workExcess float64
 }
 
 func (l *line) add(f *flow) {
@@ -54,12 +54,12 @@
 		return
 	}
 	excess := float64(observed)/float64(predicted) - 1
-	l.excess += excessWeight * (min(max(excess, 0), greatestExcess) - l.excess)
+	l.workExcess += excessWeight * (min(max(excess, 0), greatestExcess) - l.workExcess)
 }
 
 // predict returns the expected time of an entry at an upstream.
 func (l *line) predict(e *Entry) time.Duration {
-	return e.PredictedWork + time.Duration(float64(e.PredictedWork)*l.excess)
+	return e.PredictedWork + time.Duration(float64(e.PredictedWork)*l.workExcess)
 }
 
 // correction returns the estimate for entries of a priority.
@@ -79,7 +79,7 @@
 
 // next returns the flow whose head is to be dispatched, passing over flows
 // that were probed in this call. Flows that are ahead of their share wait;
-// among the others the latest start decides, on-time entries first.
+// among the others the most urgent head decides.
 func (l *line) next(cfg *Config, call uint64, now clock.Instant) *flow {
 	least, shares := l.leastStart(now)
 	if shares == 0 {
@@ -123,21 +123,6 @@
 	return least, shares
 }
 
-// isMoreUrgent compares the heads of two flows.
-func (f *flow) isMoreUrgent(g *flow) bool {
-	a, b := f.head(), g.head()
-	if a.entry.Priority != b.entry.Priority {
-		return a.entry.Priority > b.entry.Priority
-	}
-	if a.late != b.late {
-		return b.late
-	}
-	if a.late {
-		return f.start() < g.start()
-	}
-	return a.startBy < b.startBy
-}
-
 // mostExcess returns the flow that holds the most entries for its share.
 func (l *line) mostExcess() *flow {
 	var most *flow
@@ -165,14 +150,3 @@
 	seconds := min(own, l.work.Seconds()) / l.throughput()
 	return time.Duration(seconds * float64(time.Second))
 }
-
-// workBefore is the work of the flow that has to start before an instant.
-func (f *flow) workBefore(startBy clock.Instant) time.Duration {
-	var work time.Duration
-	for _, it := range f.onTime.items {
-		if it.startBy <= startBy {
-			work += it.entry.PredictedWork
-		}
-	}
-	return work
-}
--- a/serving/route/config.go
+++ b/serving/route/config.go
@@ -7,6 +7,9 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
 )
 
+// DefaultScanLimit is the ScanLimit of a zero Config.
+const DefaultScanLimit = 16
+
 // Config holds the parameters of a Router. The zero value works.
 type Config struct {
 	// Policy names the policy; empty or unknown means DefaultPolicy.
@@ -15,6 +18,9 @@
 	Index prefix.IndexConfig
 	// Health holds the parameters of the ejection of failing replicas.
 	Health health.Config
+	// ScanLimit is the size of a pool up to which a choice compares all of its
+	// replicas; 0 means DefaultScanLimit.
+	ScanLimit int
 	// Rand breaks ties and draws samples; nil means a generator with a fixed
 	// seed.
 	Rand *rand.Rand
@@ -24,6 +30,9 @@
 	if !c.Policy.isKnown() {
 		c.Policy = DefaultPolicy
 	}
+	if c.ScanLimit <= 0 {
+		c.ScanLimit = DefaultScanLimit
+	}
 	if c.Rand == nil {
 		c.Rand = rand.New(rand.NewPCG(1, 1))
 	}
--- a/serving/route/router.go
+++ b/serving/route/router.go
@@ -156,7 +156,7 @@
 	}
 	r.endComputing(u, c)
 	u.pool.health.Succeeded(&u.health)
-	u.speed.observeFirstToken(after, c.ordinary)
+	u.speed.observeFirstToken(after, c.ordinary, now)
 	u.pool.slowness.add(u.speed.slowness.value, speedWeight)
 }
 
--- a/serving/route/router_choose.go
+++ b/serving/route/router_choose.go
@@ -5,14 +5,9 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/prefix"
 )
 
-// Bounds of the upstreams that one decision looks at.
-const (
-	// scanLimit is the size up to which all upstreams of a pool are compared.
-	scanLimit = 16
-	// sampleCount is the number drawn at random from a larger pool, beside
-	// those that hold a prefix of the prompt.
-	sampleCount = 8
-)
+// sampleCount is the number of upstreams drawn at random from a pool above the
+// scan limit, beside those that hold a prefix of the prompt.
+const sampleCount = 8
 
 // Choose returns the replica that is to run a job, or a *NoReplicaError, or a
 // *SaturatedError. The latter is also returned for a job that had better wait
@@ -27,7 +22,7 @@
 	switch {
 	case s.policy == RoundRobin:
 		r.takeTurn(p, &s)
-	case len(p.members) <= scanLimit:
+	case len(p.members) <= r.cfg.ScanLimit:
 		r.matchPrefix(p, &job, now)
 		r.scan(p, &s)
 	default:
--- a/serving/route/selection.go
+++ b/serving/route/selection.go
@@ -49,7 +49,7 @@
 		return
 	}
 	c := s.candidate(u)
-	if u.isSaturated(s.job, c.uncached) {
+	if u.isSaturated(s.job, c.uncached, s.now) {
 		if s.saturated.upstream == nil || c.uncached < s.saturated.uncached {
 			s.saturated = c
 		}
@@ -74,8 +74,8 @@
 		c.uncached -= c.cached
 	}
 	c.ordinary = u.ordinaryFirstToken(c.uncached)
-	c.predicted = time.Duration(float64(c.ordinary) * u.slowness())
-	c.cost = float64(u.computeTime(c.uncached)) * float64(max(u.replica.MicrosPerHour, 1))
+	c.predicted = time.Duration(float64(c.ordinary) * u.slowness(s.now))
+	c.cost = float64(u.computeTime(c.uncached, s.now)) * float64(max(u.replica.MicrosPerHour, 1))
 	return c
 }
 
--- a/serving/route/upstream.go
+++ b/serving/route/upstream.go
@@ -95,11 +95,11 @@
 
 // isSaturated reports whether the upstream is to get no job with a number of
 // prompt tokens to compute. One that computes nothing takes any prompt.
-func (u *upstream) isSaturated(job *Job, uncached int) bool {
+func (u *upstream) isSaturated(job *Job, uncached int, now clock.Instant) bool {
 	if limit := u.limit(job); limit > 0 && u.inProgress() >= limit {
 		return true
 	}
-	return u.computing > 0 && u.computeTime(u.computing+uncached) > computeLimit
+	return u.computing > 0 && u.computeTime(u.computing+uncached, now) > computeLimit
 }
 
 // limit is the number of requests in progress up to which a job may start; 0 is
@@ -114,14 +114,14 @@
 }
 
 // computeTime predicts how long prompt tokens take to compute.
-func (u *upstream) computeTime(tokens int) time.Duration {
+func (u *upstream) computeTime(tokens int, now clock.Instant) time.Duration {
 	ordinary := float64(time.Duration(tokens) * timePerToken)
-	return time.Duration(ordinary * u.slowness())
+	return time.Duration(ordinary * u.slowness(now))
 }
 
 // slowness is that of the upstream, or of its pool while it is not known.
-func (u *upstream) slowness() float64 {
-	return u.speed.slowness.or(u.pool.slowness.or(ordinarySlowness))
+func (u *upstream) slowness(now clock.Instant) float64 {
+	return u.speed.slownessAt(now, u.pool.slowness.or(ordinarySlowness))
 }
 
 // ordinaryFirstToken predicts the time to the first token of an upstream of ordinary
