--- a/proof/scenarios/process/process.go
+++ b/proof/scenarios/process/process.go
@@ -148,3 +148,8 @@
 	}
 	return e.status, p.log.Close()
 }
+
+// PID returns the identity of the process.
+func (p *Process) PID() int {
+	return p.command.Process.Pid
+}
