proof: scenarios of the points that must always hold, under failure

A copy of the test's own sockets in a child kept connections open and made a rolling restart hang: children inherit no descriptors any more.

--- a/proof/concurrent/witness/runs.go
+++ b/proof/concurrent/witness/runs.go
@@ -76,7 +76,7 @@
 }
 
 // add takes the witness of an upstream: that of an engine names requests, that
-// of a plain service names keys.
+// of a plain service names keys. Calls without a key are no requests of callers.
 func (r *Runs) add(body []byte) error {
 	var e engine.Witness
 	if err := json.Unmarshal(body, &e); err != nil {
@@ -94,7 +94,9 @@
 		return err
 	}
 	for _, key := range s.Keys {
-		r.calls[key.Key] += key.Runs
+		if key.Key != "" {
+			r.calls[key.Key] += key.Runs
+		}
 	}
 	return nil
 }
--- a/proof/scenarios/doc.go
+++ b/proof/scenarios/doc.go
@@ -5,6 +5,11 @@
 // commands beside those of testscript are:
 //
 //	up NAME PROGRAM ARGS...      start a program and wait until it is ready
+//	daemon NAME ROLE INSTANCE FAILURE-DOMAIN ARGS...
+//	                             start a daemon with the settings that all have in
+//	                             common; its link is added to $peers
+//	confirm FILE CONTROLLERS     plan an intent, confirm it, and wait until every
+//	                             live process has it
 //	terminate NAME [STATUS]      SIGTERM, then the exit status must be STATUS (0)
 //	crash NAME                   SIGKILL
 //	freeze NAME, thaw NAME       SIGSTOP, SIGCONT
--- a/proof/scenarios/process/process.go
+++ b/proof/scenarios/process/process.go
@@ -69,6 +69,9 @@
 	if err != nil {
 		return err
 	}
+	if err := Seal(); err != nil {
+		return err
+	}
 	if err := p.command.Start(); err != nil {
 		return err
 	}
--- a/proof/scenarios/script/command.go
+++ b/proof/scenarios/script/command.go
@@ -7,6 +7,8 @@
 func commands() map[string]command {
 	return map[string]command{
 		"up":            up,
+		"daemon":        daemon,
+		"confirm":       confirm,
 		"terminate":     terminate,
 		"crash":         crash,
 		"freeze":        freeze,
--- a/proof/scenarios/script/programs.go
+++ b/proof/scenarios/script/programs.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/go-faster/errors"
+
+	"github.com/sycamorecourse/sycamorecourse/proof/scenarios/process"
 )
 
 // prints runs a program that must succeed and print what matches.
@@ -54,6 +56,9 @@
 	command := exec.Command(w.programs.Path(args[0]), args[1:]...)
 	command.Env = w.environment()
 	command.Dir = w.directory
+	if err := process.Seal(); err != nil {
+		return "", 0, err
+	}
 	out, err := command.CombinedOutput()
 	var exit *exec.ExitError
 	if err != nil && !errors.As(err, &exit) {
--- a/proof/scenarios/script/world.go
+++ b/proof/scenarios/script/world.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &World{
+	w := &World{
 		programs:  programs,
 		directory: directory,
 		fetch:     client,
@@ -40,7 +40,8 @@
 		relays:    make(map[string]*relay.Relay),
 		callers:   make(map[string]*callers.Group),
 		marks:     make(map[string]time.Time),
-	}, nil
+	}
+	return w, w.writeKeys()
 }
 
 // Close ends all that the script left running.
