clock: read CLOCK_BOOTTIME, which advances while a machine is suspended

Cause: CLOCK_MONOTONIC stands still then, so a lease or claim could outlive its time on a machine that came back.

--- a/coord/clock/system.go
+++ b/coord/clock/system.go
@@ -1,13 +1,28 @@
 package clock
 
-import "time"
+import (
+	"time"
 
-var origin = time.Now()
+	"golang.org/x/sys/unix"
+)
 
-// System is the monotonic clock of the operating system. The zero value works.
+var origin = boottime()
+
+// System is the monotonic clock of the operating system, CLOCK_BOOTTIME, which
+// also advances while a virtual machine is suspended. Deadlines of leases and
+// claims rely on that. The zero value works.
 type System struct{}
 
 // Now implements Clock.
 func (System) Now() Instant {
-	return Instant(time.Since(origin)) + 1
+	return Instant(boottime()-origin) + 1
+}
+
+func boottime() time.Duration {
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) != nil {
+		// Every Linux kernel that Go supports has this clock.
+		panic("clock: CLOCK_BOOTTIME is missing")
+	}
+	return time.Duration(t.Nano())
 }
