probe: five reads of load a second at most

Cause: each upstream was asked once a second, so what an idle gateway uses grew with its upstreams. Change: 200 ms between two reads at the least.

--- a/daemon/gateway/probe.go
+++ b/daemon/gateway/probe.go
@@ -10,8 +10,16 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
 )
 
+// probePause is the least time between the questions to two upstreams. It keeps
+// what probes cost apart from the number of upstreams; above it each upstream is
+// asked less often.
+const probePause = 200 * time.Millisecond
+
+// probeTimeout bounds one question.
+const probeTimeout = 2 * time.Second
+
 // probe is the duty that asks upstreams for their load, one after another, so
-// that each is asked once in an interval.
+// that each is asked once in an interval, or less often if there are many.
 type probe struct {
 	inbox    *ring.Ring[probeMessage]
 	dispatch *ring.Ring[dispatchMessage]
@@ -37,7 +45,7 @@
 
 // pause is the time between the questions to two upstreams.
 func (p *probe) pause() time.Duration {
-	return p.interval / time.Duration(max(len(p.targets), 1))
+	return max(p.interval/time.Duration(max(len(p.targets), 1)), probePause)
 }
 
 func (p *probe) ask() {
@@ -51,7 +59,7 @@
 		Address: target.Address,
 		Method:  http.MethodGet,
 		Path:    engine.LoadPath,
-		Timeout: p.interval,
+		Timeout: probeTimeout,
 		Sink:    &loadSink{instance: target.ID, dispatch: p.dispatch},
 	})
 }
--- a/daemon/gateway/settings.go
+++ b/daemon/gateway/settings.go
@@ -83,7 +83,7 @@
 	set.Duration(&s.ResumeGrace, "resume-grace", 10*time.Second, "how long an idempotent request goes on without a caller", 0, time.Hour)
 	set.Duration(&s.AttemptWindow, "attempt-window", 5*time.Second, "the time from the record of an attempt to its first byte; the same at all gateways", time.Second, time.Minute)
 	set.Duration(&s.TableTimeout, "table-timeout", time.Second, "the limit of a call of the table service", 10*time.Millisecond, time.Minute)
-	set.Duration(&s.ProbeInterval, "probe-interval", time.Second, "the time between two reads of an upstream's load", 50*time.Millisecond, time.Minute)
+	set.Duration(&s.ProbeInterval, "probe-interval", time.Second, "the least time between two reads of an upstream's load; five reads a second at most", 50*time.Millisecond, time.Minute)
 	set.Duration(&s.AddressKeep, "address-keep", 10*time.Second, "how long callers may keep the list of addresses", time.Second, time.Hour)
 	set.Duration(&s.DrainTimeout, "drain-timeout", time.Minute, "the limit of a graceful shutdown", time.Second, time.Hour)
 	set.Duration(&s.LeaveDelay, "leave-delay", 10*time.Second, "how long a stopping gateway still answers callers that keep its address", 0, time.Hour)
