--- a/serving/route/router.go
+++ b/serving/route/router.go
@@ -116,7 +116,8 @@
 }
 
 func (r *Router) applyCacheEvent(u *upstream, e CacheEvent, now clock.Instant) {
-	if e.Sequence <= u.cacheSequence {
+	restarted := e.Kind == CacheCleared
+	if e.Sequence <= u.cacheSequence && !restarted {
 		return
 	}
 	u.cacheSequence = e.Sequence
@@ -155,7 +156,7 @@
 	}
 	r.endComputing(u, c)
 	u.pool.health.Succeeded(&u.health)
-	u.speed.observeFirstToken(after, c.ordinary)
+	u.speed.observeFirstToken(after, c.ordinary, now)
 	u.pool.slowness.add(u.speed.slowness.value, speedWeight)
 }
 
