httpc: keep the limit of a connection being made in the client's duty

Cause: the network library ends a connection that is not made in time without a word to the caller, so a call to an upstream whose queue was full heard nothing, not even its timeout; and it sets that limit when the connection may be made already, and then ends it in use. Ruled out: the sinks and the rings. Change: the duty keeps the limits, in order, and tells the sink.

--- a/edge/httpc/client.go
+++ b/edge/httpc/client.go
@@ -14,6 +14,9 @@
 	"github.com/sycamorecourse/sycamorecourse/edge/pollers"
 )
 
+// longestWait is how long the duty waits when no connection is being made.
+const longestWait = time.Minute
+
 // Client makes calls over reused connections. Start and Cancel may be called
 // by any thread; Run is the client's duty.
 type Client struct {
@@ -21,6 +24,8 @@
 	inbox  *ring.Ring[event]
 	engine *nbhttp.Engine
 	idle   map[string][]*connection
+	// dialings are the connections being made, in the order of their limits.
+	dialings []*dialing
 	// dials counts connections begun; see dial.
 	dials atomic.Uint64
 }
@@ -76,17 +81,28 @@
 // Run is the duty that owns the connections. It returns after Close.
 func (c *Client) Run() error {
 	for {
-		e, err := c.inbox.Take()
+		wait := c.expireDials(time.Now())
+		e, ok, err := c.inbox.TakeUntil(wait)
 		if err != nil {
-			// Only this duty begins connections, so none begins while the library
-			// waits for the end of all.
-			c.engine.Stop()
+			c.end()
 			return nil
 		}
-		c.handle(e)
+		if ok {
+			c.handle(e)
+		}
 	}
 }
 
+// end fails the calls without a connection and stops the library. Only this
+// duty begins connections, so none begins while the library waits for the end
+// of all.
+func (c *Client) end() {
+	for _, d := range c.dialings {
+		d.fail(&CanceledError{})
+	}
+	c.engine.Stop()
+}
+
 func (c *Client) handle(e event) {
 	switch {
 	case e.call != nil:
@@ -127,7 +143,12 @@
 	return nil
 }
 
+// dial makes a connection for a call. The limit is kept by this duty: the
+// library's own says nothing to the caller, and can end a connection that was
+// made meanwhile.
 func (c *Client) dial(call *Call) {
+	d := &dialing{call: call, until: time.Now().Add(c.config.ConnectTimeout)}
+	c.dialings = append(c.dialings, d)
 	// The callback runs on the poller that will read the connection. The
 	// parser is set up there, so that no later event finds it missing.
 	//
@@ -137,21 +158,20 @@
 	c.dials.Add(1)
 	done := func(raw *nbio.Conn, err error) {
 		_ = c.dials.Load()
-		d := &dialed{call: call, err: err}
+		made := &dialed{dialing: d, err: err}
 		if err == nil {
-			d.conn, d.err = c.setUp(raw, call.Address)
+			made.conn, made.err = c.setUp(raw, d.call.Address)
 		}
-		if c.inbox.Offer(event{connected: d}) == nil {
+		if c.inbox.Offer(event{connected: made}) == nil {
 			return
 		}
-		if d.conn != nil {
+		if made.conn != nil {
 			_ = raw.Close()
 		}
-		call.Sink.Failed(&NotSentError{Address: call.Address, Err: &CanceledError{}})
+		d.fail(&CanceledError{})
 	}
-	err := c.engine.DialAsyncTimeout("tcp", call.Address, c.config.ConnectTimeout, done)
-	if err != nil {
-		call.Sink.Failed(&NotSentError{Address: call.Address, Err: err})
+	if err := c.engine.DialAsync("tcp", call.Address, done); err != nil {
+		d.fail(err)
 	}
 }
 
@@ -166,20 +186,35 @@
 	return conn, nil
 }
 
-func (c *Client) connected(d *dialed) {
-	address := d.call.Address
-	if d.err != nil {
-		d.call.Sink.Failed(&NotSentError{Address: address, Err: causeOf(d.err, d.call)})
-		return
-	}
-	if d.call.canceled {
-		d.call.Sink.Failed(&NotSentError{Address: address, Err: &CanceledError{}})
-		c.keep(d.conn)
-		return
+func (c *Client) connected(made *dialed) {
+	d := made.dialing
+	switch {
+	case made.err != nil:
+		d.fail(causeOf(made.err, d.call))
+	case d.call.canceled:
+		d.fail(&CanceledError{})
+		c.keep(made.conn)
+	case !d.ended.CompareAndSwap(false, true):
+		// The call was given up at the limit.
+		c.keep(made.conn)
+	case !c.send(made.conn, d.call):
+		d.call.Sink.Failed(&NotSentError{Address: d.call.Address, Err: &ClosedError{}})
 	}
-	if !c.send(d.conn, d.call) {
-		d.call.Sink.Failed(&NotSentError{Address: address, Err: &ClosedError{}})
+}
+
+// expireDials fails the calls whose connections were not made in time, and
+// returns the time until the next limit.
+func (c *Client) expireDials(now time.Time) time.Duration {
+	for len(c.dialings) > 0 {
+		d := c.dialings[0]
+		if !d.ended.Load() && now.Before(d.until) {
+			return d.until.Sub(now)
+		}
+		c.dialings[0] = nil
+		c.dialings = c.dialings[1:]
+		d.fail(&TimeoutError{Limit: c.config.ConnectTimeout})
 	}
+	return longestWait
 }
 
 // send writes the request. It returns false when the connection had ended
--- a/edge/httpc/dialed.go
+++ b/edge/httpc/dialed.go
@@ -2,7 +2,7 @@
 
 // dialed is the outcome of making a connection.
 type dialed struct {
-	call *Call
-	conn *connection
-	err  error
+	dialing *dialing
+	conn    *connection
+	err     error
 }
