Reclaim notices reach gateways without the fleet lease; reports compared by digest

A notice is a fact of the cloud: every controller reads notices and floods them now, and an older list does not take them back. Heartbeats carry the digest of the set.

--- a/daemon/controller/alone.go
+++ b/daemon/controller/alone.go
@@ -20,6 +20,9 @@
 // PublishFleet implements followers.
 func (alone) PublishFleet(uint64, []fleet.Instance, []string) error { return nil }
 
+// PublishNotices implements followers.
+func (alone) PublishNotices([]spread.Notice) error { return nil }
+
 // Await implements followers.
 func (a alone) Await(version uint64, _ time.Duration, reply *ring.Ring[spread.Progress]) error {
 	return reply.Offer(spread.Progress{Version: version, Holders: []string{a.self}})
--- a/daemon/controller/fleet_cloud.go
+++ b/daemon/controller/fleet_cloud.go
@@ -5,6 +5,7 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/fleet"
 	"github.com/sycamorecourse/sycamorecourse/serving/price"
 	"github.com/sycamorecourse/sycamorecourse/serving/reclaim"
+	"github.com/sycamorecourse/sycamorecourse/serving/spread"
 )
 
 func (f *fleetDuty) readList() {
@@ -82,12 +83,23 @@
 		f.nextNotice = now.Add(f.settings.FleetInterval)
 		return
 	}
+	f.passNotices(n.List)
 	for _, notice := range n.List {
 		f.takeNotice(notice, now)
 	}
 	f.wake()
 }
 
+// passNotices tells the gateways at once, whether or not this controller holds
+// the fleet lease. When that finds no room, the holder's own news remains.
+func (f *fleetDuty) passNotices(list []reclaim.Notice) {
+	notices := make([]spread.Notice, 0, len(list))
+	for _, n := range list {
+		notices = append(notices, spread.Notice{Instance: n.Instance, Ends: n.Ends})
+	}
+	_ = f.followers.PublishNotices(notices)
+}
+
 func (f *fleetDuty) takeNotice(n reclaim.Notice, now clock.Instant) {
 	if !f.view.Notify(n, now) {
 		return
--- a/daemon/controller/fleet_test.go
+++ b/daemon/controller/fleet_test.go
@@ -36,6 +36,8 @@
 // world is followers that keep what they were told.
 func (w *world) PublishConfiguration(*intent.Configuration) error { return nil }
 
+func (w *world) PublishNotices([]spread.Notice) error { return nil }
+
 func (w *world) PublishFleet(epoch uint64, upserts []fleet.Instance, removed []string) error {
 	w.epoch = epoch
 	for _, i := range upserts {
--- a/daemon/controller/followers.go
+++ b/daemon/controller/followers.go
@@ -17,6 +17,8 @@
 	// PublishFleet passes changes of the fleet on. Epoch is the fencing number
 	// of the fleet lease: news of an older epoch is dropped.
 	PublishFleet(epoch uint64, upserts []fleet.Instance, removed []string) error
+	// PublishNotices passes reclaim notices on. It needs no lease.
+	PublishNotices(notices []spread.Notice) error
 	// Await offers to reply once every live process has a version or a later
 	// one, and at the latest after the wait.
 	Await(version uint64, wait time.Duration, reply *ring.Ring[spread.Progress]) error
--- a/daemon/follow/duty.go
+++ b/daemon/follow/duty.go
@@ -94,6 +94,8 @@
 		return d.node.PublishConfiguration(now, e.configuration)
 	case fleetPublished:
 		return d.publishFleet(now, e)
+	case noticesPublished:
+		return d.node.PublishNotices(now, e.notices)
 	case stateSet:
 		return d.node.SetState(now, e.state)
 	case awaited:
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -56,6 +56,13 @@
 	return f.request(fleetPublished{epoch: epoch, upserts: upserts, removed: removed})
 }
 
+// PublishNotices takes reclaim notices that this process learnt from the cloud.
+// It needs no lease, so that a notice reaches every gateway while the holder of
+// the fleet lease is frozen.
+func (f *Follow) PublishNotices(notices []spread.Notice) error {
+	return f.request(noticesPublished{notices: notices})
+}
+
 // SetLeaving tells all processes that this one takes no new work.
 func (f *Follow) SetLeaving() error {
 	return f.request(stateSet{state: spread.Leaving})
--- /dev/null
+++ b/daemon/follow/notices_published.go
@@ -0,0 +1,10 @@
+package follow
+
+import "github.com/sycamorecourse/sycamorecourse/serving/spread"
+
+// noticesPublished are reclaim notices that this process learnt.
+type noticesPublished struct {
+	notices []spread.Notice
+}
+
+func (noticesPublished) isEvent() {}
--- a/edge/wire/kind.go
+++ b/edge/wire/kind.go
@@ -16,4 +16,5 @@
 	KindHandOver            Kind = 9
 	KindHandOverAnswer      Kind = 10
 	KindPayload             Kind = 11
+	KindNoticeNews          Kind = 12
 )
--- a/edge/wire/message.go
+++ b/edge/wire/message.go
@@ -25,6 +25,8 @@
 		return KindFleetSnapshot
 	case *spread.MemberNews:
 		return KindMemberNews
+	case *spread.NoticeNews:
+		return KindNoticeNews
 	case *HandOver:
 		return KindHandOver
 	case *HandOverAnswer:
@@ -55,6 +57,8 @@
 		return new(spread.FleetSnapshot)
 	case KindMemberNews:
 		return new(spread.MemberNews)
+	case KindNoticeNews:
+		return new(spread.NoticeNews)
 	case KindHandOver:
 		return new(HandOver)
 	case KindHandOverAnswer:
--- a/serving/spread/heartbeat.go
+++ b/serving/spread/heartbeat.go
@@ -7,8 +7,8 @@
 	Configuration uint64 `cbor:"1,keyasint"`
 	// ReportVersion is the newest version that the sender has reports of.
 	ReportVersion uint64 `cbor:"2,keyasint"`
-	// Reported is the number of processes known to hold ReportVersion.
-	Reported int `cbor:"3,keyasint"`
+	// Reports is the digest of the processes known to hold ReportVersion.
+	Reports uint64 `cbor:"3,keyasint"`
 	// Fleet is the position of the sender's view of the fleet.
 	Fleet Position `cbor:"4,keyasint"`
 	// Members is the digest of the sender's list of members.
--- a/serving/spread/node.go
+++ b/serving/spread/node.go
@@ -19,6 +19,7 @@
 	random        *rand.Rand
 	configuration *intent.Configuration
 	fleet         *fleetView
+	notices       *notices
 	members       *memberList
 	reports       *reports
 	peers         map[string]*peer
@@ -41,6 +42,7 @@
 		random:        random,
 		configuration: &intent.Configuration{},
 		fleet:         newFleetView(),
+		notices:       newNotices(),
 		members:       newMemberList(self),
 		reports:       newReports(),
 		peers:         make(map[string]*peer),
@@ -64,6 +66,9 @@
 	n.peers[id] = &peer{id: id, heardAt: now, known: make(map[uint64]bool)}
 	delete(n.absences, id)
 	n.send(id, n.heartbeat())
+	if known := n.notices.all(); len(known) > 0 {
+		n.send(id, &NoticeNews{Notices: known})
+	}
 	n.retarget(now)
 	return n.flush()
 }
@@ -106,6 +111,8 @@
 		n.onDelta(now, from, m)
 	case *FleetSnapshot:
 		n.onSnapshot(now, from, m)
+	case *NoticeNews:
+		n.takeNotices(now, m.Notices, from)
 	case *MemberNews:
 		n.forgetRestarted(m.Members)
 		n.takeMembers(now, n.members.merge(now, m.Members), from)
@@ -127,7 +134,7 @@
 	if err != nil || d == nil {
 		return nil, err
 	}
-	n.emit(FleetChanged{Upserts: d.Upserts, Removed: d.Removed})
+	n.emitFleet(d.Upserts, d.Removed)
 	n.broadcast(d, "")
 	return n.flush(), nil
 }
@@ -146,6 +153,7 @@
 	n.dropSilent(now)
 	n.declareGone(now)
 	n.members.forget(now, n.config.ForgetAfter)
+	n.notices.forget(now)
 	if !now.Before(n.heartbeatAt) {
 		n.heartbeatAt = now.Add(n.config.Heartbeat)
 		n.broadcast(n.heartbeat(), "")
@@ -249,7 +257,7 @@
 	return &Heartbeat{
 		Configuration: n.configuration.Version,
 		ReportVersion: n.reports.version,
-		Reported:      len(n.reports.holders),
+		Reports:       n.reports.digest(),
 		Fleet:         n.fleet.position,
 		Members:       n.members.digest,
 	}
--- a/serving/spread/node_news.go
+++ b/serving/spread/node_news.go
@@ -25,7 +25,7 @@
 		p.memberMismatches = 0
 		n.send(p.id, &Ask{Topic: TopicMembers})
 	}
-	if n.knowsFewerReports(h) {
+	if n.lacksReports(h) {
 		p.reportMismatches++
 	} else {
 		p.reportMismatches = 0
@@ -37,11 +37,13 @@
 	n.pullAll(now)
 }
 
-func (n *Node) knowsFewerReports(h *Heartbeat) bool {
+// lacksReports reports whether a peer may know of holders that this node does
+// not. Two sets of the same size can differ, so their digests are compared.
+func (n *Node) lacksReports(h *Heartbeat) bool {
 	if h.ReportVersion != n.reports.version {
 		return h.ReportVersion > n.reports.version
 	}
-	return h.Reported > len(n.reports.holders)
+	return h.Reports != n.reports.digest()
 }
 
 // pullAll asks for what some peer has and this node lacks.
@@ -155,7 +157,7 @@
 func (n *Node) onDelta(now clock.Instant, from string, d *FleetDelta) {
 	if n.fleet.apply(d) {
 		n.pulls[TopicFleet].from = ""
-		n.emit(FleetChanged{Upserts: d.Upserts, Removed: d.Removed})
+		n.emitFleet(d.Upserts, d.Removed)
 		n.broadcast(d, from)
 		return
 	}
@@ -171,7 +173,7 @@
 		return
 	}
 	n.pulls[TopicFleet].from = ""
-	n.emit(*changed)
+	n.emitFleet(changed.Upserts, changed.Removed)
 	n.broadcast(n.heartbeat(), from)
 	n.pullAll(now)
 }
--- a/serving/spread/reports.go
+++ b/serving/spread/reports.go
@@ -44,3 +44,12 @@
 	delete(r.highest, hashOf(id))
 	delete(r.holders, hashOf(id))
 }
+
+// digest is the same for the same holders, in whatever order they came.
+func (r *reports) digest() uint64 {
+	var sum uint64
+	for h := range r.holders {
+		sum ^= h
+	}
+	return sum
+}
