--- a/daemon/controller/alone.go
+++ b/daemon/controller/alone.go
@@ -25,5 +25,5 @@
 
 // Await implements followers.
 func (a alone) Await(version uint64, _ time.Duration, reply *ring.Ring[spread.Progress]) error {
-	return reply.Offer(spread.Progress{Version: version, Holders: []string{a.self}})
+	return reply.Offer(spread.Progress{Version: version, Settled: true, Holders: []string{a.self}})
 }
--- a/daemon/controller/planner_rollout.go
+++ b/daemon/controller/planner_rollout.go
@@ -47,12 +47,13 @@
 	p.processes.take(progress)
 	kept := p.waiters[:0]
 	for _, w := range p.waiters {
-		if progress.Version >= w.confirmation.Version && len(progress.Missing) == 0 {
-			p.finishWait(w, nil)
+		if progress.Version >= w.confirmation.Version && len(progress.Missing) == 0 && progress.Settled {
+			p.finishWait(w, nil, true)
 			continue
 		}
 		if progress.Version == w.confirmation.Version {
 			w.missing = progress.Missing
+			w.isSettled = progress.Settled
 		}
 		kept = append(kept, w)
 	}
@@ -68,15 +69,15 @@
 			kept = append(kept, w)
 			continue
 		}
-		p.finishWait(w, w.missing)
+		p.finishWait(w, w.missing, w.isSettled && len(w.missing) == 0)
 	}
 	p.waiters = kept
 }
 
-func (p *planner) finishWait(w waiter, missing []string) {
+func (p *planner) finishWait(w waiter, missing []string, everywhere bool) {
 	p.answer(answer{ticket: w.ticket, status: http.StatusOK, body: operator.Confirmed{
 		Confirmation: w.confirmation,
-		Everywhere:   len(missing) == 0,
+		Everywhere:   everywhere,
 		Pending:      p.processes.named(missing),
 	}})
 }
--- a/daemon/controller/waiter.go
+++ b/daemon/controller/waiter.go
@@ -13,4 +13,6 @@
 	deadline clock.Instant
 	// missing are the processes without the version as last known.
 	missing []string
+	// isSettled is true once all processes are known.
+	isSettled bool
 }
--- a/daemon/follow/config.go
+++ b/daemon/follow/config.go
@@ -16,6 +16,9 @@
 	// inboxSlotsForMessages leaves room for the beginnings and ends of links,
 	// which must not be lost. A message may be.
 	inboxSlotsForMessages = 3 * inboxSlots / 4
+	// settleTime is how long after its start a process is not taken to know all
+	// members.
+	settleTime = 4 * time.Second
 	// deliverRetry is the wait before a refused update is delivered again.
 	deliverRetry = 50 * time.Millisecond
 )
--- a/daemon/follow/duty.go
+++ b/daemon/follow/duty.go
@@ -21,6 +21,8 @@
 	pending *pending
 	// deliverAt is when a refused update may be delivered again.
 	deliverAt clock.Instant
+	// settledAt is when this process is taken to know all members.
+	settledAt clock.Instant
 	waiting   []awaited
 	// targets are those that the links have not taken yet; nil if they have.
 	targets []link.Target
@@ -35,6 +37,9 @@
 		links:   links,
 		node:    spread.NewNode(f.config.Spread, self, now, random),
 		pending: newPending(),
+		// Until the others have told their lists, a version may be missing at a
+		// process that is not known here.
+		settledAt: now.Add(settleTime),
 	}
 }
 
@@ -78,6 +83,9 @@
 	}
 	for _, w := range d.waiting {
 		wait = min(wait, w.deadline.Sub(now))
+		if now.Before(d.settledAt) {
+			wait = min(wait, d.settledAt.Sub(now))
+		}
 	}
 	return max(wait, 0)
 }
@@ -219,7 +227,9 @@
 	var still []awaited
 	for _, w := range d.waiting {
 		progress := d.node.Progress(w.version)
-		if len(progress.Missing) > 0 && now.Before(w.deadline) {
+		progress.Settled = !now.Before(d.settledAt)
+		isOpen := len(progress.Missing) > 0 || !progress.Settled
+		if isOpen && now.Before(w.deadline) {
 			still = append(still, w)
 			continue
 		}
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -74,8 +74,9 @@
 }
 
 // Await offers a Progress to reply once every member that is not gone has a
-// version or a higher one, and at the latest after wait. With a wait of zero it
-// answers at once.
+// version or a higher one, not before this process has had time to learn of all
+// members, and at the latest after wait. With a wait of zero it answers at
+// once.
 func (f *Follow) Await(version uint64, wait time.Duration, reply *ring.Ring[spread.Progress]) error {
 	return f.request(awaited{version: version, deadline: f.clock.Now().Add(wait), reply: reply})
 }
