--- a/coord/attempt/claim.go
+++ b/coord/attempt/claim.go
@@ -276,53 +276,6 @@
 	return Send{Attempt: c.record.Attempt, Until: c.deadline}
 }
 
-func (c *Claim) finish(call string, state State, answer Answer) (Step, error) {
-	if c.phase != phaseSent {
-		return nil, &PhaseError{ID: c.record.ID, Call: call, Phase: c.phase.String()}
-	}
-	c.phase = phaseFinishing
-	c.record.State = state
-	c.record.Answer = answer
-	c.writes = 0
-	return c.write(), nil
-}
-
-func (c *Claim) endWritten(err error) Step {
-	var conflict *row.ConflictError
-	var unknown *row.UnknownError
-	switch {
-	case err == nil:
-		return c.end(Done{})
-	case errors.As(err, &conflict), errors.As(err, &unknown):
-		return Read{Key: c.record.ID.Row()}
-	default:
-		return c.end(Done{Err: &StoreError{ID: c.record.ID, Err: err}})
-	}
-}
-
-// endRead writes the outcome again unless the row has it or has gone to
-// another claim. A row that a Settler made Unknown is put right.
-func (c *Claim) endRead(found row.Row, err error) Step {
-	if err != nil {
-		return c.end(Done{Err: &StoreError{ID: c.record.ID, Err: err}})
-	}
-	if found.Version != 0 {
-		record, err := DecodeRecord(found)
-		if err != nil {
-			return c.end(Done{Err: &InvalidRecordError{ID: c.record.ID, Err: err}})
-		}
-		isOwn := record.isOf(c.record.Holder, c.record.Nonce)
-		if !isOwn || record.State == c.record.State {
-			return c.end(Done{})
-		}
-	}
-	if c.writes >= maxWrites {
-		return c.end(Done{Err: &StoreError{ID: c.record.ID, Err: &TriesError{Tries: c.writes}}})
-	}
-	c.version = found.Version
-	return c.write()
-}
-
 func (c *Claim) checkDeadline(now clock.Instant) error {
 	if now.Before(c.deadline) {
 		return nil
--- a/proof/bench/result.go
+++ b/proof/bench/result.go
@@ -42,14 +42,6 @@
 	wanted, served []float64
 }
 
-// ClassResult is what a run gave for one class.
-type ClassResult struct {
-	// Name names the class.
-	Name string
-	// Offered and Good count requests.
-	Offered, Good int
-}
-
 func newResult(m Member) *Result {
 	r := &Result{member: m, wanted: make([]float64, len(m.Customers)), served: make([]float64, len(m.Customers))}
 	for _, c := range m.Classes {
--- a/proof/bench/scenario.go
+++ b/proof/bench/scenario.go
@@ -50,14 +50,6 @@
 	}
 }
 
-// reporting is how upstreams report.
-type reporting struct {
-	loadPeriod, loadLag time.Duration
-	cacheLag            time.Duration
-	// loadLoss and cacheLoss are the shares that never arrive.
-	loadLoss, cacheLoss float64
-}
-
 func (s Scenario) reporting() reporting {
 	if s.LateReports {
 		return reporting{loadPeriod: time.Second, loadLag: 3 * time.Second, cacheLag: 6 * time.Second, loadLoss: 0.3, cacheLoss: 0.3}
--- a/proof/history/node.go
+++ b/proof/history/node.go
@@ -23,17 +23,6 @@
 
 const million = 1_000_000
 
-// Trouble bounds how often and how long nodes are in trouble.
-type Trouble struct {
-	// Every is the mean time between two pauses, crashes or separations from
-	// the table of a node.
-	Every time.Duration
-	// Longest is the longest pause, time to a restart, or separation.
-	Longest time.Duration
-	// SkewPPM bounds the error of the rates of the clocks.
-	SkewPPM int64
-}
-
 // NewNode starts a process. Its start function is called now and after each
 // crash; it must make all state anew.
 func NewNode(w *World, name string, trouble Trouble, start func(*Node)) *Node {
