--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := ./coord/... ./serving/... ./edge/... ./daemon/... ./ctl/... ./standin/... ./proof/...
+MODULES := ./coord/... ./serving/... ./edge/... ./platform/... ./daemon/... ./ctl/... ./standin/... ./proof/...
 
 .PHONY: build test demo bench soak fmt
 
@@ -20,4 +20,4 @@
 	SYCAMORE_SEEDS=$(SEEDS) go test -count=1 ./proof/...
 
 fmt:
-	gofmt -l -w coord serving edge daemon ctl standin proof
+	gofmt -l -w coord serving edge platform daemon ctl standin proof
--- a/daemon/command/register.go
+++ b/daemon/command/register.go
@@ -9,6 +9,7 @@
 	commander.Register(commander.CommandsCommand(), "")
 	commander.Register(&Check{}, "")
 	commander.Register(&Controller{}, "")
+	commander.Register(&EntryGateway{}, "")
 	commander.Register(&Gateway{}, "")
 	commander.Register(&Version{}, "")
 }
--- /dev/null
+++ b/daemon/entry/dispatch_message.go
@@ -0,0 +1,8 @@
+package entry
+
+// dispatchMessage is a message to dispatch: arrive, news, callerGone,
+// setCatalog, setUpstreams, setShares, setClock, wrapUp, stopTaking, askOpen or
+// dumpDispatch.
+type dispatchMessage interface {
+	isDispatchMessage()
+}
--- /dev/null
+++ b/daemon/entry/drain_message.go
@@ -0,0 +1,4 @@
+package entry
+
+// drainMessage says that a stop is wanted.
+type drainMessage struct{}
--- /dev/null
+++ b/daemon/entry/dump_dispatch.go
@@ -0,0 +1,13 @@
+package entry
+
+import (
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/daemon/report"
+)
+
+// dumpDispatch asks dispatch for its section of a dump.
+type dumpDispatch struct {
+	reply *ring.Ring[report.Section]
+}
+
+func (dumpDispatch) isDispatchMessage() {}
--- /dev/null
+++ b/daemon/entry/leave_cluster.go
@@ -0,0 +1,6 @@
+package entry
+
+// leaveCluster says that this process stops.
+type leaveCluster struct{}
+
+func (leaveCluster) isClusterMessage() {}
--- /dev/null
+++ b/daemon/entry/metrics.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sycamorecourse/sycamorecourse/serving/relay"
+)
+
+// latencyBuckets are upper bounds in seconds.
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5, 15}
+
+// metrics are the counters and histograms of requests.
+type metrics struct {
+	ended   *prometheus.CounterVec
+	retried prometheus.Counter
+	first   *prometheus.HistogramVec
+	whole   *prometheus.HistogramVec
+	open    prometheus.Gauge
+	prompt  *prometheus.GaugeVec
+}
+
+func newMetrics(registry *prometheus.Registry) *metrics {
+	m := &metrics{
+		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamore_requests_ended_total",
+			Help: "Requests that ended, by route and reason.",
+		}, []string{"route", "reason"}),
+		retried: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sycamore_requests_retried_total",
+			Help: "Sends beyond the first of each request.",
+		}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "sycamore_first_event_seconds",
+			Help:    "Time from a request's arrival to the first event of its answer, by route.",
+			Buckets: latencyBuckets,
+		}, []string{"route"}),
+		whole: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "sycamore_answer_seconds",
+			Help:    "Time from a request's arrival to its end, by route.",
+			Buckets: latencyBuckets,
+		}, []string{"route"}),
+		open: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sycamore_requests_open",
+			Help: "Requests in progress.",
+		}),
+		prompt: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "sycamore_prompt_tokens",
+			Help: "Prompt tokens of requests that ran since the start: all, and those believed to be cached.",
+		}, []string{"what"}),
+	}
+	registry.MustRegister(m.ended, m.retried, m.first, m.whole, m.open, m.prompt)
+	return m
+}
+
+func (m *metrics) note(n *relay.Note) {
+	if n.Event == relay.NoteRetried {
+		m.retried.Inc()
+		return
+	}
+	m.ended.WithLabelValues(n.Route, string(n.Reason)).Inc()
+	m.whole.WithLabelValues(n.Route).Observe(n.Took.Seconds())
+	if n.First > 0 {
+		m.first.WithLabelValues(n.Route).Observe(n.First.Seconds())
+	}
+}
+
+func (m *metrics) set(core *relay.Core) {
+	counts := core.Counts()
+	m.open.Set(float64(core.Open()))
+	m.prompt.WithLabelValues("all").Set(float64(counts.PromptTokens))
+	m.prompt.WithLabelValues("cached").Set(float64(counts.CachedTokens))
+}
--- /dev/null
+++ b/daemon/entry/role.go
@@ -0,0 +1,4 @@
+package entry
+
+// Role is the name of this role in logs and dumps.
+const Role = "entry"
--- /dev/null
+++ b/daemon/entry/start_error.go
@@ -0,0 +1,19 @@
+package entry
+
+// StartError reports a part of the process that can't be started.
+type StartError struct {
+	// Part names the part.
+	Part string
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *StartError) Error() string {
+	return "can't start the " + e.Part + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *StartError) Unwrap() error {
+	return e.Err
+}
--- /dev/null
+++ b/daemon/entry/watch_dump.go
@@ -0,0 +1,10 @@
+package entry
+
+// watchDump is the watch duty's section of a dump.
+type watchDump struct {
+	Config    uint64            `json:"config"`
+	Entries   int               `json:"upstream_entries"`
+	Usable    int               `json:"upstreams_usable"`
+	Versions  map[string]uint64 `json:"table_versions"`
+	AgeMillis map[string]int64  `json:"table_ages_ms"`
+}
--- /dev/null
+++ b/daemon/entry/watch_message.go
@@ -0,0 +1,17 @@
+package entry
+
+import (
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/daemon/report"
+	"github.com/sycamorecourse/sycamorecourse/platform/rows"
+)
+
+// watchMessage is a message to the watch duty: an answer of the store for a
+// table, or a dump.
+type watchMessage struct {
+	table  string
+	isList bool
+	page   rows.Page
+	err    error
+	dump   *ring.Ring[report.Section]
+}
--- a/edge/httpc/call.go
+++ b/edge/httpc/call.go
@@ -2,14 +2,25 @@
 
 import (
 	"bytes"
-	"io"
 	"net/http"
-	"net/url"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 )
 
+// headRoom is the usual size of the head of a request, in bytes.
+const headRoom = 1 << 10
+
+// framing holds the fields that the call itself writes.
+var framing = map[string]bool{
+	"Host":              true,
+	"Content-Length":    true,
+	"Transfer-Encoding": true,
+	"Trailer":           true,
+}
+
 // Call is one request and the sink of its answer. It is made by its owner and
 // not changed after Client.Start.
 type Call struct {
@@ -19,6 +30,8 @@
 	Method string
 	// Path is the path with the query, as it goes on the wire.
 	Path string
+	// Host is the Host field; empty takes the address.
+	Host string
 	// Header holds further fields of the request; it may be nil.
 	Header http.Header
 	// Body is the whole body.
@@ -28,6 +41,10 @@
 	// NotAfter is the instant from which the first byte is not sent any more;
 	// 0 is no bound. A call that is too late fails with a *NotSentError.
 	NotAfter clock.Instant
+	// Echo names a field of the request whose value the answer must repeat;
+	// empty for none. An answer without it belongs to another request: the call
+	// breaks off, and the connection is not used again.
+	Echo string
 	// Sink receives the answer.
 	Sink Sink
 
@@ -36,29 +53,38 @@
 	canceled bool
 }
 
+// encode returns the bytes of the request. The path goes out as it is.
 func (c *Call) encode() ([]byte, error) {
-	target, err := url.ParseRequestURI(c.Path)
-	if err != nil {
-		return nil, err
-	}
-	header := c.Header
-	if header == nil {
-		header = http.Header{}
-	}
-	if header.Get("User-Agent") == "" {
-		header.Set("User-Agent", "sycamorecourse")
+	if !isTarget(c.Path) {
+		return nil, &TargetError{Target: c.Path}
 	}
-	request := http.Request{
-		Method:        c.Method,
-		URL:           target,
-		Host:          c.Address,
-		Header:        header,
-		ContentLength: int64(len(c.Body)),
-		Body:          io.NopCloser(bytes.NewReader(c.Body)),
+	host := c.Host
+	if host == "" {
+		host = c.Address
 	}
 	var out bytes.Buffer
-	if err := request.Write(&out); err != nil {
+	out.Grow(len(c.Body) + headRoom)
+	out.WriteString(c.Method + " " + c.Path + " HTTP/1.1\r\nHost: " + host + "\r\n")
+	if err := c.Header.WriteSubset(&out, framing); err != nil {
 		return nil, err
 	}
+	if len(c.Body) > 0 || c.Method != http.MethodGet {
+		out.WriteString("Content-Length: " + strconv.Itoa(len(c.Body)) + "\r\n")
+	}
+	out.WriteString("\r\n")
+	out.Write(c.Body)
 	return out.Bytes(), nil
 }
+
+// isTarget reports whether a path can stand in a request line.
+func isTarget(path string) bool {
+	if !strings.HasPrefix(path, "/") {
+		return false
+	}
+	for i := range len(path) {
+		if path[i] <= ' ' || path[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- a/edge/httpc/client.go
+++ b/edge/httpc/client.go
@@ -1,7 +1,9 @@
 package httpc
 
 import (
+	"net"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +28,8 @@
 	idle   map[string][]*connection
 	// dialings are the connections being made, in the order of their limits.
 	dialings []*dialing
-	// dials counts connections begun; see dial.
+	dialers  []*dialer
+	// dials counts connections made; see setUp.
 	dials atomic.Uint64
 }
 
@@ -52,7 +55,16 @@
 	if err := c.engine.Start(); err != nil {
 		return err
 	}
-	return pollers.Await(c.engine.Engine)
+	if err := pollers.Await(c.engine.Engine); err != nil {
+		return err
+	}
+	for i := range c.config.Dialers {
+		name := c.config.Name + "-dial" + strconv.Itoa(i)
+		d := newDialer(name, c)
+		d.start(name)
+		c.dialers = append(c.dialers, d)
+	}
+	return nil
 }
 
 // Close ends the duty, which ends all connections. The sinks of calls that are
@@ -100,6 +112,11 @@
 	for _, d := range c.dialings {
 		d.fail(&CanceledError{})
 	}
+	for _, d := range c.dialers {
+		d.inbox.Close()
+		// A dialer never fails.
+		_ = d.thread.Join()
+	}
 	c.engine.Stop()
 }
 
@@ -131,63 +148,70 @@
 
 func (c *Client) takeIdle(address string) *connection {
 	list := c.idle[address]
+	now := time.Now()
 	for len(list) > 0 {
 		conn := list[len(list)-1]
 		list = list[:len(list)-1]
 		c.idle[address] = list
-		if !conn.isClosed() {
-			return conn
+		if conn.isClosed() {
+			continue
+		}
+		if conn.isStale(now) {
+			_ = conn.conn.Close()
+			continue
 		}
+		return conn
 	}
 	delete(c.idle, address)
 	return nil
 }
 
-// dial makes a connection for a call. The limit is kept by this duty: the
-// library's own says nothing to the caller, and can end a connection that was
-// made meanwhile.
+// dial makes a connection for a call.
 func (c *Client) dial(call *Call) {
 	d := &dialing{call: call, until: time.Now().Add(c.config.ConnectTimeout)}
-	c.dialings = append(c.dialings, d)
-	// The callback runs on the poller that will read the connection. The
-	// parser is set up there, so that no later event finds it missing.
-	//
-	// The counter orders this thread's writes before the poller's reads. The
-	// library leaves that to the kernel, which orders the two in fact, but not
-	// by the memory model of the language.
-	c.dials.Add(1)
-	done := func(raw *nbio.Conn, err error) {
-		_ = c.dials.Load()
-		made := &dialed{dialing: d, err: err}
-		if err == nil {
-			made.conn, made.err = c.setUp(raw, d.call.Address)
-		}
-		if c.inbox.Offer(event{connected: made}) == nil {
-			return
-		}
-		if made.conn != nil {
-			_ = raw.Close()
+	best := c.dialers[0]
+	for _, other := range c.dialers[1:] {
+		if other.pending < best.pending {
+			best = other
 		}
-		d.fail(&CanceledError{})
 	}
-	if err := c.engine.DialAsync("tcp", call.Address, done); err != nil {
+	if err := best.inbox.Offer(d); err != nil {
 		d.fail(err)
+		return
 	}
+	best.pending++
+	c.dialings = append(c.dialings, d)
 }
 
-func (c *Client) setUp(raw *nbio.Conn, address string) (*connection, error) {
-	if err := socketError(raw); err != nil {
-		_ = raw.Close()
+// setUp gives a new connection to the pollers. The parser is set up before, so
+// that no event finds it missing.
+//
+// The counter orders this thread's writes before the poller's reads. The library
+// leaves that to the kernel, which orders the two in fact, but not by the memory
+// model of the language.
+func (c *Client) setUp(made net.Conn, address string) (*connection, error) {
+	raw, err := nbio.NBConn(made)
+	if err != nil {
+		_ = made.Close()
 		return nil, err
 	}
 	conn := &connection{address: address, conn: raw, onFree: c.free}
 	raw.SetSession(nbhttp.NewParser(raw, c.engine, conn, true, nil))
-	raw.OnData(c.engine.DataHandler)
+	raw.OnData(func(of *nbio.Conn, data []byte) {
+		_ = c.dials.Load()
+		c.engine.DataHandler(of, data)
+	})
+	c.dials.Add(1)
+	if _, err := c.engine.AddConn(raw); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
 	return conn, nil
 }
 
 func (c *Client) connected(made *dialed) {
 	d := made.dialing
+	made.dialer.pending--
 	switch {
 	case made.err != nil:
 		d.fail(causeOf(made.err, d.call))
@@ -265,7 +289,8 @@
 		_ = conn.conn.Close()
 		return
 	}
-	_ = conn.conn.SetReadDeadline(time.Now().Add(c.config.IdleTimeout))
+	conn.freed = time.Now()
+	_ = conn.conn.SetReadDeadline(conn.freed.Add(c.config.IdleTimeout))
 	c.idle[conn.address] = append(list, conn)
 }
 
--- a/edge/httpc/config.go
+++ b/edge/httpc/config.go
@@ -10,6 +10,8 @@
 	Capacity int
 	// Pollers is the number of threads that read connections. Default 1.
 	Pollers int
+	// Dialers is the number of threads that make connections. Default 2.
+	Dialers int
 	// ConnectTimeout bounds the making of a connection. Default 1 s.
 	ConnectTimeout time.Duration
 	// IdleTimeout ends an unused connection. It should be shorter than the
@@ -29,6 +31,9 @@
 	if c.Pollers <= 0 {
 		c.Pollers = 1
 	}
+	if c.Dialers <= 0 {
+		c.Dialers = 2
+	}
 	if c.ConnectTimeout <= 0 {
 		c.ConnectTimeout = time.Second
 	}
--- a/edge/httpc/connection.go
+++ b/edge/httpc/connection.go
@@ -2,9 +2,12 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 )
@@ -19,11 +22,19 @@
 	conn    *nbio.Conn
 	current atomic.Pointer[Call]
 	onFree  func(*connection)
+	// freed is when the last answer ended; the duty owns it.
+	freed time.Time
+	// keepFor is how long the server keeps the connection unused; 0 if it did
+	// not say. It is written before the connection is freed.
+	keepFor time.Duration
 
 	status    int
 	header    http.Header
 	announced bool
 	last      bool
+	chunked   bool
+	// open is true for a body that ends with the connection.
+	open bool
 }
 
 // OnMethod implements nbhttp.Processor.
@@ -41,18 +52,33 @@
 	c.header = http.Header{}
 	c.announced = false
 	c.last = false
+	c.chunked = false
+	c.open = false
 }
 
 // OnHeader implements nbhttp.Processor.
 func (c *connection) OnHeader(_ *nbhttp.Parser, key, value string) {
 	c.header.Add(key, value)
-	if strings.EqualFold(key, "Connection") && strings.EqualFold(value, "close") {
-		c.last = true
+	switch key {
+	case "Connection":
+		c.last = c.last || strings.EqualFold(value, "close")
+	case "Keep-Alive":
+		c.keepFor = keepAlive(value)
+	case "Transfer-Encoding":
+		c.chunked = true
 	}
 }
 
-// OnContentLength implements nbhttp.Processor.
-func (c *connection) OnContentLength(*nbhttp.Parser, int) {}
+// OnContentLength implements nbhttp.Processor. It comes at the end of the head.
+// A body with neither a length nor chunks ends with the connection, which the
+// parser does not know: the rest of the connection is read as it comes.
+func (c *connection) OnContentLength(parser *nbhttp.Parser, length int) {
+	if length >= 0 || c.chunked || c.status < 200 || c.status == http.StatusNoContent || c.status == http.StatusNotModified {
+		return
+	}
+	c.open = true
+	parser.ParserCloser = &openBody{connection: c}
+}
 
 // OnBody implements nbhttp.Processor.
 func (c *connection) OnBody(_ *nbhttp.Parser, data []byte) error {
@@ -60,7 +86,9 @@
 	if call == nil {
 		return nil
 	}
-	c.announce(call)
+	if err := c.announce(call); err != nil {
+		return err
+	}
 	call.Sink.Body(data)
 	return nil
 }
@@ -70,12 +98,24 @@
 
 // OnComplete implements nbhttp.Processor.
 func (c *connection) OnComplete(*nbhttp.Parser) {
-	call := c.current.Swap(nil)
+	if c.open {
+		return
+	}
+	call := c.current.Load()
 	if call == nil {
 		_ = c.conn.Close()
 		return
 	}
-	c.announce(call)
+	if c.status < 200 {
+		return
+	}
+	if err := c.announce(call); err != nil {
+		_ = c.conn.CloseWithError(err)
+		return
+	}
+	if !c.current.CompareAndSwap(call, nil) {
+		return
+	}
 	last := c.last
 	call.Sink.Done()
 	if last {
@@ -91,18 +131,41 @@
 	if call == nil {
 		return
 	}
-	call.Sink.Failed(&BrokenError{Address: c.address, Err: causeOf(err, call)})
+	cause := causeOf(err, call)
+	var closed *ClosedError
+	if !c.open {
+		call.Sink.Failed(&BrokenError{Address: c.address, Err: cause})
+		return
+	}
+	if !errors.As(cause, &closed) {
+		call.Sink.Failed(&BrokenError{Address: c.address, Err: &TruncatedError{Err: cause}})
+		return
+	}
+	if !c.announced {
+		c.announced = true
+		call.Sink.Head(c.status, c.header)
+	}
+	call.Sink.Done()
 }
 
 // Clean implements nbhttp.Processor.
 func (c *connection) Clean(*nbhttp.Parser) {}
 
-func (c *connection) announce(call *Call) {
+// announce gives the sink the head, once. It fails with a *StrayError when the
+// answer is not that of the call.
+func (c *connection) announce(call *Call) error {
 	if c.announced {
-		return
+		return nil
+	}
+	if call.Echo != "" {
+		want, got := call.Header.Get(call.Echo), c.header.Get(call.Echo)
+		if want != got {
+			return &StrayError{Field: call.Echo, Want: want, Got: got}
+		}
 	}
 	c.announced = true
 	call.Sink.Head(c.status, c.header)
+	return nil
 }
 
 // isClosed reports whether the connection has ended.
@@ -110,3 +173,20 @@
 	closed, _ := c.conn.IsClosed()
 	return closed
 }
+
+// isStale reports whether the server may be about to close the unused
+// connection.
+func (c *connection) isStale(now time.Time) bool {
+	return c.keepFor > 0 && now.Sub(c.freed) > c.keepFor*4/5
+}
+
+// keepAlive reads the timeout of a Keep-Alive field; 0 if there is none.
+func keepAlive(value string) time.Duration {
+	for _, part := range strings.Split(value, ",") {
+		name, text, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(strings.TrimSpace(text)); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/edge/httpc/dialer.go
@@ -0,0 +1,63 @@
+package httpc
+
+import (
+	"net"
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/coord/thread"
+)
+
+// dialerSlots is the number of connections that may wait for one dialer.
+const dialerSlots = 256
+
+// dialer is a duty that makes connections, one after another. The making of a
+// connection blocks its thread, so that a client has a few dialers and gives a
+// new connection to the one with the fewest waiting.
+//
+// The network library's own dialing can't be used: it takes the first four of
+// the sixteen bytes in which an IPv4 address is held, which are zero.
+type dialer struct {
+	inbox  *ring.Ring[*dialing]
+	client *Client
+	thread *thread.Thread
+	// pending is the number of connections that it was given and that have not
+	// come back. The client's duty owns it.
+	pending int
+}
+
+func newDialer(name string, c *Client) *dialer {
+	return &dialer{inbox: ring.New[*dialing](name, dialerSlots), client: c}
+}
+
+func (d *dialer) start(name string) {
+	d.thread = thread.Start(name, d.run)
+}
+
+func (d *dialer) run() error {
+	for {
+		next, err := d.inbox.Take()
+		if err != nil {
+			return nil
+		}
+		d.dial(next)
+	}
+}
+
+func (d *dialer) dial(next *dialing) {
+	made := &dialed{dialing: next, dialer: d}
+	if left := time.Until(next.until); left <= 0 {
+		made.err = &TimeoutError{Limit: d.client.config.ConnectTimeout}
+	} else if conn, err := net.DialTimeout("tcp", next.call.Address, left); err != nil {
+		made.err = err
+	} else {
+		made.conn, made.err = d.client.setUp(conn, next.call.Address)
+	}
+	if d.client.inbox.Offer(event{connected: made}) == nil {
+		return
+	}
+	if made.conn != nil {
+		_ = made.conn.conn.Close()
+	}
+	next.fail(&CanceledError{})
+}
--- a/edge/httpd/config.go
+++ b/edge/httpd/config.go
@@ -7,6 +7,8 @@
 type Config struct {
 	// Address is the IP and port to listen on; port 0 takes any free port.
 	Address string
+	// Also holds further addresses to listen on. Exchange.Local tells them apart.
+	Also []string
 	// Pollers is the number of threads that read connections. Default 2.
 	Pollers int
 	// MaxBodyBytes bounds the body of a request. Default 4 MiB.
--- a/edge/httpd/exchange.go
+++ b/edge/httpd/exchange.go
@@ -21,6 +21,10 @@
 type Exchange struct {
 	// Method is the HTTP method.
 	Method string
+	// Host is the host that the request names.
+	Host string
+	// Target is the path with the query, as it came.
+	Target string
 	// Path is the decoded path.
 	Path string
 	// Query holds the parameters of the URL.
@@ -31,6 +35,8 @@
 	Body []byte
 	// Remote is the caller's address.
 	Remote string
+	// Local is the address that the caller connected to.
+	Local string
 	// Arrived is the time at which the request was whole.
 	Arrived time.Time
 
@@ -93,6 +99,12 @@
 	_ = x.conn.Close()
 }
 
+// Last makes this the last exchange of its connection: the answer asks the
+// caller to close it. It has no effect once the head of the answer was sent.
+func (x *Exchange) Last() {
+	x.keepAlive = false
+}
+
 // IsStreaming reports whether the head of a streamed answer was sent.
 func (x *Exchange) IsStreaming() bool {
 	return x.streaming
--- a/edge/httpd/server.go
+++ b/edge/httpd/server.go
@@ -35,15 +35,18 @@
 // Open listens and serves until Close. It fails with a *ListenError or a
 // *pollers.StartError.
 func (s *Server) Open() error {
-	ln, err := net.Listen("tcp", s.config.Address)
+	listeners, err := s.listen()
 	if err != nil {
-		return &ListenError{Address: s.config.Address, Err: err}
+		return err
+	}
+	addresses := make([]string, 0, len(listeners))
+	for address := range listeners {
+		addresses = append(addresses, address)
 	}
-	s.address = ln.Addr().String()
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:                "tcp",
-		Addrs:                  []string{s.address},
-		Listen:                 func(string, string) (net.Listener, error) { return ln, nil },
+		Addrs:                  addresses,
+		Listen:                 func(_, address string) (net.Listener, error) { return listeners[address], nil },
 		Handler:                http.HandlerFunc(s.serve),
 		NPoller:                s.config.Pollers,
 		LockPoller:             true,
@@ -63,6 +66,26 @@
 	return pollers.Await(s.engine.Engine)
 }
 
+// listen opens all addresses. The listeners stand under their addresses.
+func (s *Server) listen() (map[string]net.Listener, error) {
+	listeners := make(map[string]net.Listener, 1+len(s.config.Also))
+	for _, wanted := range append([]string{s.config.Address}, s.config.Also...) {
+		ln, err := net.Listen("tcp", wanted)
+		if err != nil {
+			for _, opened := range listeners {
+				_ = opened.Close()
+			}
+			return nil, &ListenError{Address: wanted, Err: err}
+		}
+		address := ln.Addr().String()
+		if s.address == "" {
+			s.address = address
+		}
+		listeners[address] = ln
+	}
+	return listeners, nil
+}
+
 // orderAccepts makes what the listener's thread wrote of a new connection
 // visible to the poller that reads it. The library leaves that to the kernel,
 // which orders the two in fact, but not by the memory model of the language.
@@ -74,7 +97,7 @@
 	})
 }
 
-// Address returns the IP and port listened on, known after Open.
+// Address returns the first IP and port listened on, known after Open.
 func (s *Server) Address() string {
 	return s.address
 }
@@ -104,11 +127,14 @@
 	}
 	x := &Exchange{
 		Method:    r.Method,
+		Host:      r.Host,
+		Target:    r.RequestURI,
 		Path:      r.URL.Path,
 		Query:     r.URL.Query(),
 		Header:    r.Header.Clone(),
 		Body:      body,
 		Remote:    r.RemoteAddr,
+		Local:     conn.LocalAddr().String(),
 		Arrived:   time.Now(),
 		conn:      conn,
 		state:     state,
--- /dev/null
+++ b/serving/catalog/catalog.go
@@ -0,0 +1,82 @@
+package catalog
+
+import (
+	"sort"
+	"strings"
+)
+
+// Catalog is one version of the configuration. It is not changed once made.
+type Catalog struct {
+	// Version grows with each change.
+	Version uint64
+	// Services by name.
+	Services map[string]*Service
+	// Customers by name; empty if requests need no credential.
+	Customers map[string]*Customer
+	// Limits bound what callers may send.
+	Limits Limits
+
+	routes      map[string][]*Route // by host, longest prefix first
+	credentials map[string]*Customer
+}
+
+// New makes a catalog of routes, services and customers.
+func New(version uint64, routes []*Route, services []*Service, customers []*Customer, limits Limits) *Catalog {
+	c := &Catalog{
+		Version:     version,
+		Services:    make(map[string]*Service, len(services)),
+		Customers:   make(map[string]*Customer, len(customers)),
+		Limits:      limits,
+		routes:      make(map[string][]*Route),
+		credentials: make(map[string]*Customer),
+	}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		c.routes[host] = append(c.routes[host], r)
+	}
+	for _, list := range c.routes {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	for _, s := range services {
+		c.Services[s.Name] = s
+	}
+	for _, customer := range customers {
+		c.Customers[customer.Name] = customer
+		for _, credential := range customer.Credentials {
+			c.credentials[credential] = customer
+		}
+	}
+	return c
+}
+
+// Route returns the route of a host whose prefix is the longest that begins
+// the path; nil if there is none.
+func (c *Catalog) Route(host, path string) *Route {
+	host, _, _ = strings.Cut(host, ":")
+	for _, r := range c.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Customer returns the customer that holds a credential; nil if there is none.
+func (c *Catalog) Customer(credential string) *Customer {
+	return c.credentials[credential]
+}
+
+// NeedsCredentials reports whether requests on routes that are not public need
+// a credential.
+func (c *Catalog) NeedsCredentials() bool {
+	return len(c.Customers) > 0
+}
+
+// RouteCount returns the number of routes.
+func (c *Catalog) RouteCount() int {
+	n := 0
+	for _, list := range c.routes {
+		n += len(list)
+	}
+	return n
+}
--- /dev/null
+++ b/serving/catalog/upstream.go
@@ -0,0 +1,29 @@
+package catalog
+
+import "time"
+
+// Upstream is one start of a process that runs the requests of a service.
+type Upstream struct {
+	// ID names the start.
+	ID string
+	// Service names the service.
+	Service string
+	// Address is its IP and port. Addresses are used again by others.
+	Address string
+	// FailureDomain is where it runs.
+	FailureDomain string
+	// Slots is the number of requests that it runs at once.
+	Slots int
+	// Leaving upstreams get no new requests.
+	Leaving bool
+	// LeavesIn is the time left when it said that it leaves; 0 if unknown.
+	LeavesIn time.Duration
+	// Reclaimable upstreams may be taken away.
+	Reclaimable bool
+	// ColdFor is how much longer it was slow after its start, when it said so.
+	ColdFor time.Duration
+	// Born is when it started, in Unix milliseconds; 0 if unknown. An upstream
+	// that starts again under the same ID has a later one and knows nothing of
+	// before.
+	Born int64
+}
--- /dev/null
+++ b/serving/cluster/peer.go
@@ -0,0 +1,9 @@
+package cluster
+
+import "github.com/sycamorecourse/sycamorecourse/coord/clock"
+
+// peer is a gateway as last read.
+type peer struct {
+	card    Card
+	changed clock.Instant
+}
--- /dev/null
+++ b/serving/cluster/view.go
@@ -0,0 +1,151 @@
+package cluster
+
+import (
+	"sort"
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+)
+
+// View is what one gateway knows of all gateways. One thread owns it.
+type View struct {
+	silence time.Duration
+	peers   map[string]*peer
+	read    clock.Instant
+}
+
+// NewView makes an empty view. A gateway whose row did not change for the given
+// time counts as dead.
+func NewView(silence time.Duration) *View {
+	return &View{silence: silence, peers: make(map[string]*peer)}
+}
+
+// Read takes all rows as read at an instant.
+func (v *View) Read(cards []Card, now clock.Instant) {
+	// Time in which no read succeeded is not held against anybody.
+	if gap := now.Sub(v.read); v.read != 0 && gap > v.silence/2 {
+		for _, p := range v.peers {
+			p.changed = p.changed.Add(gap)
+		}
+	}
+	v.read = now
+	seen := make(map[string]bool, len(cards))
+	for _, card := range cards {
+		seen[card.Instance] = true
+		p := v.peers[card.Instance]
+		if p == nil {
+			p = &peer{}
+			v.peers[card.Instance] = p
+		}
+		if p.card.Sequence != card.Sequence || p.card.Incarnation != card.Incarnation {
+			p.changed = now
+		}
+		p.card = card
+	}
+	for name := range v.peers {
+		if !seen[name] {
+			delete(v.peers, name)
+		}
+	}
+}
+
+// Live returns the gateways that write their rows, ordered by name.
+func (v *View) Live() []Card {
+	var list []Card
+	for _, p := range v.peers {
+		if v.read.Sub(p.changed) < v.silence {
+			list = append(list, p.card)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Instance < list[j].Instance })
+	return list
+}
+
+// Ready returns the gateways that take requests, ordered by name.
+func (v *View) Ready() []Card {
+	var list []Card
+	for _, card := range v.Live() {
+		if card.Ready {
+			list = append(list, card)
+		}
+	}
+	return list
+}
+
+// Silent returns the names of gateways whose rows have not changed for the given
+// time.
+func (v *View) Silent(since time.Duration) []string {
+	var names []string
+	for name, p := range v.peers {
+		if v.read.Sub(p.changed) >= since {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Card returns the row of a gateway.
+func (v *View) Card(instance string) (Card, bool) {
+	p := v.peers[instance]
+	if p == nil {
+		return Card{}, false
+	}
+	return p.card, true
+}
+
+// Count sums what all gateways, dead ones included, have counted in a window.
+func (v *View) Count(window int64) map[string]uint64 {
+	sum := make(map[string]uint64)
+	for _, p := range v.peers {
+		for customer, n := range p.card.Windows[window] {
+			sum[customer] += n
+		}
+	}
+	return sum
+}
+
+// Offset is the median of the live gateways' times of day less the store's
+// clock, so that a few wrong clocks do not matter. It reports false if there is
+// none.
+func (v *View) Offset() (time.Duration, bool) {
+	var offsets []time.Duration
+	for _, card := range v.Live() {
+		if card.Offset != 0 {
+			offsets = append(offsets, card.Offset)
+		}
+	}
+	if len(offsets) == 0 {
+		return 0, false
+	}
+	sort.Slice(offsets, func(i, j int) bool { return offsets[i] < offsets[j] })
+	return offsets[(len(offsets)-1)/2], true
+}
+
+// Shares divides the customers' limits: the part of one gateway grows with what
+// was asked of it lately. Gateways that were asked for nothing keep a part for
+// what may come.
+func (v *View) Shares(self string) map[string]float64 {
+	live := v.Live()
+	totals := make(map[string]float64)
+	own := make(map[string]float64)
+	for _, card := range live {
+		for customer, demand := range card.Demand {
+			totals[customer] += demand
+			if card.Instance == self {
+				own[customer] = demand
+			}
+		}
+	}
+	shares := make(map[string]float64, len(totals))
+	even := 1 / float64(max(len(live), 1))
+	for customer, total := range totals {
+		if total <= 0 {
+			continue
+		}
+		shares[customer] = evenPart*even + (1-evenPart)*own[customer]/total
+	}
+	return shares
+}
+
+// evenPart is the part of a limit that is divided evenly.
+const evenPart = 0.4
--- /dev/null
+++ b/serving/relay/config.go
@@ -0,0 +1,21 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/serving/health"
+)
+
+// Config holds the parameters of a Core.
+type Config struct {
+	// RetryRatio is the share of requests that may be sent once more, over all
+	// gateways.
+	RetryRatio float64
+	// RetryExtra is the number of requests in RetryWindow that may be sent once
+	// more beside that share, over all gateways.
+	RetryExtra int
+	// RetryWindow is the time over which both are counted.
+	RetryWindow time.Duration
+	// Health holds the parameters of the ejection of failing upstreams.
+	Health health.Config
+}
--- /dev/null
+++ b/serving/relay/core.go
@@ -0,0 +1,160 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
+)
+
+// Core is the state machine of all requests of one gateway.
+type Core struct {
+	config   Config
+	catalog  *catalog.Catalog
+	pools    map[string]*pool
+	states   map[Handle]*state
+	timers   timers
+	meters   map[string]*meter
+	shares   map[string]float64
+	demands  map[string]*demand
+	gateways int
+	leaving  bool
+	viewed   clock.Instant
+	counts   Counts
+	actions  []Action
+}
+
+// New makes a core that knows of no configuration and no upstream.
+func New(config Config) *Core {
+	return &Core{
+		config:   config,
+		pools:    make(map[string]*pool),
+		states:   make(map[Handle]*state),
+		meters:   make(map[string]*meter),
+		demands:  make(map[string]*demand),
+		gateways: 1,
+	}
+}
+
+// Actions returns what is to be done, in order, and forgets it.
+func (c *Core) Actions() []Action {
+	list := c.actions
+	c.actions = nil
+	return list
+}
+
+// Configure takes a configuration. An older one than known changes nothing.
+func (c *Core) Configure(next *catalog.Catalog, now clock.Instant) {
+	if c.catalog != nil && next.Version <= c.catalog.Version {
+		return
+	}
+	c.catalog = next
+	for name, m := range c.meters {
+		customer := next.Customers[name]
+		if customer == nil || customer.Rate <= 0 {
+			delete(c.meters, name)
+			continue
+		}
+		m.configure(customer)
+	}
+}
+
+// SetUpstreams replaces the upstreams that may get requests.
+func (c *Core) SetUpstreams(list []*catalog.Upstream, now clock.Instant) {
+	c.viewed = now
+	services := make(map[string]map[string]*catalog.Upstream)
+	for _, u := range list {
+		if services[u.Service] == nil {
+			services[u.Service] = make(map[string]*catalog.Upstream)
+		}
+		services[u.Service][u.ID] = u
+	}
+	for name := range services {
+		if c.pools[name] == nil {
+			c.pools[name] = newPool(name, c.config)
+		}
+	}
+	for name, p := range c.pools {
+		p.set(services[name])
+	}
+}
+
+// Confirm notes that the list of upstreams was still true at an instant.
+func (c *Core) Confirm(now clock.Instant) {
+	c.viewed = now
+}
+
+// SetShares sets the number of gateways and this one's part of the limits of
+// customers; those that are not named get an even part.
+func (c *Core) SetShares(gateways int, shares map[string]float64) {
+	c.gateways = max(gateways, 1)
+	c.shares = shares
+	for name, m := range c.meters {
+		m.share = c.share(name)
+		if c.catalog != nil && c.catalog.Customers[name] != nil {
+			m.configure(c.catalog.Customers[name])
+		}
+	}
+}
+
+// Leave makes the core refuse requests that come from now on.
+func (c *Core) Leave() {
+	c.leaving = true
+}
+
+// Open returns the number of requests in progress.
+func (c *Core) Open() int {
+	return len(c.states)
+}
+
+// Counts returns the totals.
+func (c *Core) Counts() Counts {
+	return c.counts
+}
+
+// NextTick returns how long to wait until Tick is due, at most the limit.
+func (c *Core) NextTick(now clock.Instant, limit time.Duration) time.Duration {
+	if len(c.timers) == 0 {
+		return limit
+	}
+	return min(max(c.timers[0].at.Sub(now), 0), limit)
+}
+
+// Tick acts on what is due.
+func (c *Core) Tick(now clock.Instant) {
+	for len(c.timers) > 0 && !now.Before(c.timers[0].at) {
+		due := c.timers[0]
+		c.timers.removeFirst()
+		if s := c.states[due.handle]; s != nil {
+			c.look(s, now)
+		}
+	}
+}
+
+// look acts on the limits of one request.
+func (c *Core) look(s *state, now clock.Instant) {
+	if !now.Before(s.limit) {
+		c.timeOut(s, now)
+		return
+	}
+	a := s.attempt
+	if a == nil || a.giveUp == 0 {
+		return
+	}
+	if now.Before(a.giveUp) {
+		c.timers.add(timer{at: a.giveUp, handle: s.request.Handle})
+		return
+	}
+	c.tooSlow(s, now)
+}
+
+func (c *Core) do(a Action) {
+	c.actions = append(c.actions, a)
+}
+
+func (c *Core) share(customer string) float64 {
+	if share, ok := c.shares[customer]; ok {
+		return share
+	}
+	return 1 / float64(c.gateways)
+}
--- /dev/null
+++ b/serving/relay/prediction.go
@@ -0,0 +1,11 @@
+package relay
+
+import "time"
+
+// prediction is what is expected of an upstream for one request.
+type prediction struct {
+	first    time.Duration // to the first event
+	cached   int           // prompt tokens that need not be read
+	uncached int           // prompt tokens to read
+	open     int           // this gateway's requests there
+}
--- /dev/null
+++ b/serving/roster/roster_test.go
@@ -0,0 +1,64 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
+	"github.com/sycamorecourse/sycamorecourse/serving/roster"
+)
+
+func TestRoster(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "roster")
+}
+
+var _ = Describe("Roster", func() {
+	const grace = 2 * time.Second
+	at := func(d time.Duration) clock.Instant { return clock.Instant(time.Hour + d) }
+	ids := func(list []*catalog.Upstream) []string {
+		var names []string
+		for _, u := range list {
+			names = append(names, u.ID)
+		}
+		return names
+	}
+
+	It("drops an entry that is removed or leaves at once", func() {
+		r := roster.New(grace)
+		r.Set(&catalog.Upstream{ID: "a"})
+		r.Set(&catalog.Upstream{ID: "b"})
+		r.Set(&catalog.Upstream{ID: "b", Leaving: true})
+		r.Remove("a", at(0))
+		Expect(r.Usable(at(0))).To(BeEmpty())
+	})
+
+	It("keeps entries that lapsed while the store was away until the grace ends", func() {
+		r := roster.New(grace)
+		r.Set(&catalog.Upstream{ID: "a"})
+		r.Set(&catalog.Upstream{ID: "b", Leaving: true})
+		r.Set(&catalog.Upstream{ID: "c"})
+		r.Away()
+		Expect(ids(r.Usable(at(0)))).To(ConsistOf("a", "c"))
+		r.Back(at(time.Second))
+		r.Reset(map[string]*catalog.Upstream{"c": {ID: "c"}}, at(time.Second))
+		Expect(ids(r.Usable(at(2 * time.Second)))).To(ConsistOf("a", "c"))
+		next, ok := r.NextChange()
+		Expect(ok).To(BeTrue())
+		Expect(next).To(Equal(at(3 * time.Second)))
+		Expect(ids(r.Usable(next))).To(ConsistOf("c"))
+	})
+
+	It("takes a removal at its word once the grace has ended", func() {
+		r := roster.New(grace)
+		r.Set(&catalog.Upstream{ID: "a"})
+		r.Away()
+		r.Back(at(0))
+		r.Remove("a", at(grace))
+		Expect(r.Usable(at(grace))).To(BeEmpty())
+	})
+})
