--- a/edge/httpc/client.go
+++ b/edge/httpc/client.go
@@ -2,14 +2,12 @@
 
 import (
 	"net"
-	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
-	"golang.org/x/sys/unix"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
@@ -300,25 +298,3 @@
 	}
 	return time.Now().Add(limit)
 }
-
-// socketError returns why a connection could not be made, nil if it was.
-func socketError(conn *nbio.Conn) error {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var code int
-	var readErr error
-	err = raw.Control(func(fd uintptr) {
-		code, readErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
-	})
-	switch {
-	case err != nil:
-		return err
-	case readErr != nil:
-		return os.NewSyscallError("getsockopt", readErr)
-	case code != 0:
-		return os.NewSyscallError("connect", unix.Errno(code))
-	}
-	return nil
-}
--- a/edge/httpc/connection.go
+++ b/edge/httpc/connection.go
@@ -33,8 +33,10 @@
 	announced bool
 	last      bool
 	chunked   bool
-	// open is true for a body that ends with the connection.
+	// open is true for a body that ends with the connection, and tail is then a
+	// second descriptor of it.
 	open bool
+	tail *tail
 }
 
 // OnMethod implements nbhttp.Processor.
@@ -98,6 +100,7 @@
 		// The parser takes the end of the head for the end of the answer. What
 		// follows is read as it comes.
 		parser.ParserCloser = &openBody{connection: c}
+		c.tail = newTail(c.conn)
 		return
 	}
 	call := c.current.Load()
@@ -128,22 +131,30 @@
 func (c *connection) Close(_ *nbhttp.Parser, err error) {
 	call := c.current.Swap(nil)
 	if call == nil {
+		c.tail.close()
 		return
 	}
-	cause := causeOf(err, call)
-	var closed *ClosedError
 	if !c.open {
-		call.Sink.Failed(&BrokenError{Address: c.address, Err: cause})
+		call.Sink.Failed(&BrokenError{Address: c.address, Err: causeOf(err, call)})
 		return
 	}
-	if !errors.As(cause, &closed) {
+	c.closeOpen(call, causeOf(err, call))
+}
+
+// closeOpen ends an answer whose body ends with the connection.
+func (c *connection) closeOpen(call *Call, cause error) {
+	var closed *ClosedError
+	if errors.As(cause, &closed) {
+		cause = c.announce(call)
+	}
+	if cause == nil {
+		cause = c.tail.drain(call.Sink)
+	}
+	c.tail.close()
+	if cause != nil {
 		call.Sink.Failed(&BrokenError{Address: c.address, Err: &TruncatedError{Err: cause}})
 		return
 	}
-	if !c.announced {
-		c.announced = true
-		call.Sink.Head(c.status, c.header)
-	}
 	call.Sink.Done()
 }
 
--- a/edge/httpc/odd_servers_test.go
+++ b/edge/httpc/odd_servers_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
 	"github.com/sycamorecourse/sycamorecourse/coord/thread"
 	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
 )
@@ -119,6 +120,23 @@
 		Expect(err).To(BeAssignableToTypeOf(&httpc.BrokenError{}))
 	})
 
+	It("does not take a head for a whole answer when a reset follows at once", func() {
+		const tries = 30
+		scripts := make([]func(*net.TCPConn), tries)
+		for i := range scripts {
+			scripts[i] = func(c *net.TCPConn) {
+				_, _ = c.Write([]byte(head + "\r\n"))
+				_ = c.SetLinger(0)
+				_ = c.Close()
+			}
+		}
+		serve(scripts...)
+		for range tries {
+			_, err := call()
+			Expect(err).To(BeAssignableToTypeOf(&httpc.BrokenError{}))
+		}
+	})
+
 	It("does not take the answer of another request", func() {
 		serve(
 			says(head+"Content-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nName: z\r\nContent-Length: 4\r\n\r\nlate"),
@@ -142,15 +160,19 @@
 	})
 
 	It("does not reuse a connection that its server is about to close", func() {
-		serve(
-			says(head+"Keep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok"),
-			ends("never"),
-		)
+		peers := ring.New[string]("peers", 2)
+		answer := func(c *net.TCPConn) {
+			_ = peers.Offer(c.RemoteAddr().String())
+			says(head + "Keep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok")(c)
+		}
+		serve(answer, answer)
 		_, err := call()
 		Expect(err).NotTo(HaveOccurred())
 		time.Sleep(900 * time.Millisecond)
-		server.scripts = []func(*net.TCPConn){says(head + "Content-Length: 2\r\n\r\nok")}
 		_, err = call()
 		Expect(err).NotTo(HaveOccurred())
+		first, err := peers.Take()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(peers.Take()).NotTo(Equal(first))
 	})
 })
--- a/edge/httpc/open_body.go
+++ b/edge/httpc/open_body.go
@@ -13,15 +13,12 @@
 	return b.connection.conn
 }
 
-// Parse implements nbhttp.ParserCloser. A reset that has come together with the
-// data is found here, since the end of the connection does not show it.
+// Parse implements nbhttp.ParserCloser.
 func (b *openBody) Parse(data []byte) error {
-	if len(data) > 0 {
-		if err := b.connection.OnBody(nil, data); err != nil {
-			return err
-		}
+	if len(data) == 0 {
+		return nil
 	}
-	return socketError(b.connection.conn)
+	return b.connection.OnBody(nil, data)
 }
 
 // CloseAndClean implements nbhttp.ParserCloser.
