scale: upstreams are ordered by the load, three quarters on demand, the rest reclaimable

Requests that would wait so long behind others that their target is missed are refused at once; the delay is taken from what was observed lately and from the oldest request that waits (serving/relay queueDelay).

--- a/daemon/entry/clusterer.go
+++ b/daemon/entry/clusterer.go
@@ -13,6 +13,7 @@
 	"github.com/sycamorecourse/sycamorecourse/platform/cloud"
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
+	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
 )
 
@@ -56,6 +57,10 @@
 	tally    *usage.Tally
 	reporter *usage.Reporter
 	reports  bool
+	planner  *scale.Planner
+	fleet    setFleet
+	planned  clock.Instant
+	orders   bool
 
 	lease     *lease.Lease
 	leaseAt   clock.Instant // when the lease's next step is due; 0 while it calls
@@ -117,6 +122,9 @@
 	if c.holds && !c.reporting && !now.Before(c.reportAt) {
 		c.reportNext(now)
 	}
+	if c.holds {
+		c.plan(now)
+	}
 }
 
 func (c *clusterer) handle(m clusterMessage, now clock.Instant) {
@@ -126,6 +134,7 @@
 			c.tally.Add(window, counts)
 		}
 		c.card.Demand = m.demand
+		c.card.Loads = m.loads
 	case cardsRead:
 		c.read(m, now)
 	case cardWritten:
@@ -140,6 +149,10 @@
 		c.decidedRead(m, now)
 	case reported:
 		c.reported(m, now)
+	case ordered:
+		c.ordered(m, now)
+	case setFleet:
+		c.fleet = m
 	case setReady:
 		c.card.Ready = !c.isLeaving
 		c.beatAt = now
--- a/daemon/entry/clusterer_duty.go
+++ b/daemon/entry/clusterer_duty.go
@@ -11,6 +11,7 @@
 	"github.com/sycamorecourse/sycamorecourse/coord/row"
 	"github.com/sycamorecourse/sycamorecourse/platform/cloud"
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
+	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 )
 
 // step carries out what the lease asks for.
@@ -43,6 +44,7 @@
 	c.log.Info().Bool("holds", holds).Uint64("fence", c.lease.LastKnown().Fence).Msg("duties_changed")
 	if holds {
 		c.reporter.Restart()
+		c.planner = scale.NewPlanner()
 		c.reportAt = now
 	}
 }
--- a/daemon/entry/dispatcher.go
+++ b/daemon/entry/dispatcher.go
@@ -276,7 +276,7 @@
 	}
 	d.told = now
 	d.metrics.set(d.core)
-	if d.cluster.Offer(tallied{counts: d.counted, demand: d.core.Demand(now)}) == nil {
+	if d.cluster.Offer(tallied{counts: d.counted, demand: d.core.Demand(now), loads: d.core.Loads(now)}) == nil {
 		d.counted = make(map[int64]usage.Counts)
 	}
 }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
 	"github.com/sycamorecourse/sycamorecourse/serving/health"
 	"github.com/sycamorecourse/sycamorecourse/serving/relay"
+	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
 )
 
@@ -168,6 +169,8 @@
 		tally:    usage.NewTally(window),
 		reporter: usage.NewReporter(window, usageSettle, s.UsageLimit),
 		reports:  s.ReportsUsage && s.CloudAddress != "",
+		orders:   s.OrdersUpstreams && s.CloudAddress != "",
+		planner:  scale.NewPlanner(),
 		lease:    lease.New(leaseName, config, lease.Holder{Instance: s.Instance, Incarnation: incarnation}),
 	}
 }
--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -41,6 +41,8 @@
 	config  *catalog.Catalog
 	told    bool // the others know that this process is configured
 	pending bool // the list of upstreams has changed
+	// fleetChanged is set while the cluster duty lacks what has changed.
+	fleetChanged bool
 }
 
 func newWatch() *watch {
@@ -170,6 +172,7 @@
 		w.log.Info().Uint64("config", next.Version).Uint64("store_version", r.Version).
 			Int("routes", next.RouteCount()).Int("customers", len(next.Customers)).Msg("config_in_force")
 		offerOr(w.dispatch, dispatchMessage(setCatalog{catalog: next}), w.log)
+		w.fleetChanged = true
 	}
 }
 
@@ -210,6 +213,10 @@
 	}
 	if w.pending && w.dispatch.Offer(setUpstreams{list: w.roster.Usable(now)}) == nil {
 		w.pending = false
+		w.fleetChanged = true
+	}
+	if w.fleetChanged && w.cluster.Offer(setFleet{catalog: w.config, upstreams: w.roster.List()}) == nil {
+		w.fleetChanged = false
 	}
 	if !w.told && w.config != nil && w.tables[served.UpstreamTable].version > 0 && !w.pending {
 		w.told = true
--- a/serving/cluster/card.go
+++ b/serving/cluster/card.go
@@ -1,6 +1,10 @@
 package cluster
 
-import "time"
+import (
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/serving/scale"
+)
 
 // Card is the row of one gateway.
 type Card struct {
@@ -22,4 +26,6 @@
 	Windows map[int64]map[string]uint64 `cbor:"8,keyasint,omitempty"`
 	// Demand is what each customer asked for lately, in its unit a second.
 	Demand map[string]float64 `cbor:"9,keyasint,omitempty"`
+	// Loads are what the gateway asks of each service.
+	Loads map[string]scale.Load `cbor:"10,keyasint,omitempty"`
 }
--- a/serving/cluster/view.go
+++ b/serving/cluster/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 )
 
 // View is what one gateway knows of all gateways. One thread owns it.
@@ -104,6 +105,15 @@
 	return sum
 }
 
+// Load sums what the live gateways ask of a service.
+func (v *View) Load(service string) scale.Load {
+	var sum scale.Load
+	for _, card := range v.Live() {
+		sum.Add(card.Loads[service])
+	}
+	return sum
+}
+
 // Offset is the median of the live gateways' times of day less the store's
 // clock, so that a few wrong clocks do not matter. It reports false if there is
 // none.
--- a/serving/relay/attempt.go
+++ b/serving/relay/attempt.go
@@ -14,4 +14,5 @@
 	hasEvent  bool
 	body      []byte
 	predicted prediction
+	urgency   int
 }
--- a/serving/relay/core_answer.go
+++ b/serving/relay/core_answer.go
@@ -10,10 +10,8 @@
 const (
 	// maxUrgency is the last place in the order of requests at a model engine.
 	maxUrgency = 9
-	// slownessWeight is the weight of one answer in the moving ratio.
-	slownessWeight = 0.1
-	// leastSlowness and mostSlowness bound the ratio.
-	leastSlowness, mostSlowness = 0.5, 20.0
+	// plainWeight is the weight of one answer in the moving time of plain calls.
+	plainWeight = 0.1
 )
 
 // Heard takes the head of an attempt's answer.
@@ -65,10 +63,9 @@
 	}
 	a.hasEvent = true
 	a.member.reading -= a.predicted.uncached
+	a.member.delays[a.urgency].ended(a)
 	c.ran(s, now)
-	if s.attempts == 1 {
-		c.learn(a, now)
-	}
+	c.learn(a, now)
 	s.pool.group.Succeeded(&a.member.record)
 }
 
@@ -90,13 +87,15 @@
 	c.do(Ran{Customer: customer})
 }
 
-// learn compares the time to the first event with its prediction.
+// learn takes how long the first event took beyond what the upstream needs for
+// the request alone.
 func (c *Core) learn(a *attempt, now clock.Instant) {
-	predicted := max(a.predicted.first, time.Millisecond)
-	ratio := float64(now.Sub(a.sent)) / (float64(predicted) / a.member.slowness)
 	m := a.member
-	m.slowness += slownessWeight * (ratio - m.slowness)
-	m.slowness = min(max(m.slowness, leastSlowness), mostSlowness)
+	if a.predicted.alone == 0 {
+		m.plain += time.Duration(plainWeight * float64(now.Sub(a.sent)-m.plain))
+		return
+	}
+	m.delays[a.urgency].observed(now.Sub(a.sent)-a.predicted.alone, now)
 }
 
 // Done takes the end of an attempt's whole answer.
@@ -143,6 +142,9 @@
 	isError := a.head.Status >= 500
 	s.mayHave = true
 	c.ran(s, now)
+	if !isStream(s.route) {
+		c.learn(a, now)
+	}
 	s.pool.answered(a.member, isError, now)
 	if isError && c.again(s, "server error", now) {
 		return
@@ -322,6 +324,7 @@
 	a.member.open--
 	if !a.hasEvent {
 		a.member.reading -= a.predicted.uncached
+		a.member.delays[a.urgency].ended(a)
 	}
 }
 
--- a/serving/relay/core_place.go
+++ b/serving/relay/core_place.go
@@ -39,6 +39,10 @@
 	if m == nil {
 		return false
 	}
+	if s.attempts == 0 && isHopeless(s, p) {
+		s.predicted = p
+		return false
+	}
 	if s.attempts > 0 && !s.pool.budget.take(c.gateways, now) {
 		return false
 	}
@@ -104,9 +108,8 @@
 // predict estimates the time to the first event at an upstream.
 func (c *Core) predict(s *state, m *member, keys []uint64, isHome bool, now clock.Instant) prediction {
 	p := prediction{open: m.open}
-	others := float64(c.gateways)
 	if s.request.Prompt == nil {
-		p.first = time.Duration(float64(time.Duration(m.open)*openDelay) * m.slowness)
+		p.first = m.plain * time.Duration(m.open+1)
 		if !isHome {
 			p.first += time.Microsecond
 		}
@@ -118,13 +121,27 @@
 		p.cached = max(p.cached, sharedTokens(prompt))
 	}
 	p.uncached = max(prompt.Tokens-p.cached, 0)
-	work := float64(p.uncached) + float64(m.reading)*others
-	p.first = firstDelay + time.Duration(work/readTokensPerMilli*float64(time.Millisecond))
-	p.first += time.Duration(float64(m.open)*others) * openDelay
-	p.first = time.Duration(float64(p.first) * m.slowness)
+	p.alone = firstDelay + readTime(p.uncached)
+	p.wait = max(m.delay(urgency(s), now), readTime(m.reading)) + time.Duration(m.open)*openDelay
+	p.first = p.alone + p.wait
 	return p
 }
 
+// readTime is the time in which an engine reads prompt tokens.
+func readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / readTokensPerMilli * float64(time.Millisecond))
+}
+
+// isHopeless reports whether a request would wait so long for others that its
+// target is missed.
+func isHopeless(s *state, p prediction) bool {
+	target := s.route.Target
+	if s.request.Prompt == nil || target <= 0 {
+		return false
+	}
+	return p.first > target && p.wait > target/2
+}
+
 // sharedTokens is the length of all parts of a prompt but the last.
 func sharedTokens(p *Prompt) int {
 	n := 0
@@ -146,6 +163,11 @@
 	s.attempt = &attempt{ref: s.ref(), member: m, sent: now, heard: now, predicted: p}
 	m.open++
 	m.reading += p.uncached
+	if s.request.Prompt != nil {
+		s.attempt.urgency = urgency(s)
+		m.delays[s.attempt.urgency].sent(s.attempt)
+	}
+	s.pool.read.add(float64(p.uncached), now)
 	m.hold(prefixKeys(s.request.Prompt), now)
 	s.pool.group.Started(&m.record)
 	c.counts.Sent++
--- a/serving/relay/member.go
+++ b/serving/relay/member.go
@@ -37,9 +37,10 @@
 	misdirected bool
 	// errors is the moving share of answers that were server errors.
 	errors float64
-	// slowness is the moving ratio of the time to the first event to its
-	// prediction.
-	slowness float64
+	// delays holds the delay of requests by urgency.
+	delays [maxUrgency + 1]queueDelay
+	// plain is the moving time of a plain call.
+	plain time.Duration
 }
 
 func newMember(u *catalog.Upstream) *member {
@@ -47,7 +48,6 @@
 		upstream: u,
 		seed:     xxhash.Sum64String(u.ID),
 		holds:    make(map[uint64]clock.Instant),
-		slowness: 1,
 	}
 }
 
@@ -61,6 +61,16 @@
 	return x ^ x>>33
 }
 
+// delay is how long a request of an urgency is expected to wait behind those
+// that are as urgent or more.
+func (m *member) delay(urgency int, now clock.Instant) time.Duration {
+	var longest time.Duration
+	for i := 0; i <= urgency; i++ {
+		longest = max(longest, m.delays[i].now(now))
+	}
+	return longest
+}
+
 // cached returns how many tokens of a prompt the upstream is believed to hold.
 func (m *member) cached(p *Prompt, keys []uint64, now clock.Instant) int {
 	tokens := 0
--- a/serving/relay/pool.go
+++ b/serving/relay/pool.go
@@ -14,6 +14,7 @@
 	group   *health.Group
 	budget  budget
 	errors  float64
+	read    demand // prompt tokens a second that must be read
 }
 
 func newPool(service string, config Config) *pool {
--- a/serving/relay/snapshot.go
+++ b/serving/relay/snapshot.go
@@ -32,14 +32,14 @@
 	for _, p := range c.pools {
 		for _, m := range p.order {
 			s.Members = append(s.Members, MemberSnapshot{
-				ID:       m.upstream.ID,
-				Service:  p.service,
-				Address:  m.upstream.Address,
-				Open:     m.open,
-				Reading:  m.reading,
-				Weight:   p.group.Weight(&m.record, now),
-				Errors:   m.errors,
-				Slowness: m.slowness,
+				ID:          m.upstream.ID,
+				Service:     p.service,
+				Address:     m.upstream.Address,
+				Open:        m.open,
+				Reading:     m.reading,
+				Weight:      p.group.Weight(&m.record, now),
+				Errors:      m.errors,
+				DelayMillis: m.delay(maxUrgency, now).Milliseconds(),
 			})
 		}
 	}
--- a/serving/roster/roster.go
+++ b/serving/roster/roster.go
@@ -90,6 +90,15 @@
 	return list
 }
 
+// List returns all entries, those that leave included.
+func (r *Roster) List() []*catalog.Upstream {
+	list := make([]*catalog.Upstream, 0, len(r.entries))
+	for _, u := range r.entries {
+		list = append(list, u)
+	}
+	return list
+}
+
 // Entries returns all entries, those that leave included.
 func (r *Roster) Entries() map[string]*catalog.Upstream {
 	return r.entries
--- /dev/null
+++ b/serving/scale/planner.go
@@ -0,0 +1,194 @@
+package scale
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
+)
+
+const (
+	// openShare is the share of its slots that an upstream is planned to use.
+	openShare = 0.3
+	// readShare is the share of its time that an upstream is planned to read
+	// prompts.
+	readShare = 0.45
+	// readTokensPerSecond is the number of prompt tokens that an upstream reads.
+	readTokensPerSecond = 50_000
+	// onDemandShare is the number of on-demand upstreams for each that the load
+	// needs.
+	onDemandShare = 0.75
+	// leastOnDemand is the least number of them in each failure domain.
+	leastOnDemand = 1
+	// spareShare is the number of reclaimable upstreams for each that the load
+	// needs.
+	spareShare = 1.2
+	// growth bounds how many more than there are may be needed.
+	growth = 3
+	// settleTime is how long the load must have been known before on-demand
+	// upstreams that were there at the start are given up.
+	settleTime = 5 * time.Second
+	// lullTime is how long a need must have fallen before less is ordered.
+	lullTime = 5 * time.Second
+	// stepTime is the time between two steps down.
+	stepTime = time.Second
+	// orderSlack is how long after their boot ordered upstreams may be missing
+	// before they are ordered again.
+	orderSlack = 3 * time.Second
+	// refusalWait is the wait after an order that was refused.
+	refusalWait = 2 * time.Second
+)
+
+// Planner plans the upstreams of all services. One thread owns it.
+type Planner struct {
+	orders map[subject]standing
+	trends map[string]trend
+}
+
+// NewPlanner makes a planner that knows of no order.
+func NewPlanner() *Planner {
+	return &Planner{orders: make(map[subject]standing), trends: make(map[string]trend)}
+}
+
+// Plan returns the orders that are due for a service.
+func (p *Planner) Plan(s *catalog.Service, upstreams []*catalog.Upstream, load Load, now clock.Instant) []Order {
+	if s.Scale == nil || s.Engine == nil || s.Scale.ReclaimablePrice <= 0 || s.Scale.ReclaimablePrice >= 1 {
+		return nil
+	}
+	domains := domainsOf(s, upstreams)
+	if len(domains) == 0 {
+		return nil
+	}
+	have := count(s.Name, upstreams)
+	need := p.need(s, have, load, now)
+	var due []Order
+	for i, domain := range domains {
+		plain := subject{service: s.Name, failureDomain: domain}
+		reclaimable := subject{service: s.Name, failureDomain: domain, reclaimable: true}
+		keep := have[plain]
+		if p.isSettled(s.Name, now) {
+			keep = part(onDemandShare*float64(need), i, len(domains))
+		}
+		keep = min(max(keep, leastOnDemand, s.Scale.Min), s.Scale.Max)
+		// Both kinds share the bound, so that room for one kind is what there is
+		// of the other, or will be.
+		spare := min(part(spareShare*float64(need), 0, len(domains)), s.Scale.Max-max(keep, have[plain]))
+		due = p.consider(due, plain, keep, have[plain], need, s, now)
+		due = p.consider(due, reclaimable, max(spare, 0), have[reclaimable], need, s, now)
+	}
+	return due
+}
+
+// part divides a number evenly; the first parts get what is left over.
+func part(total float64, i, parts int) int {
+	return max((int(math.Ceil(total))-i+parts-1)/parts, 0)
+}
+
+// isSettled reports whether the load has been known for long enough to give up
+// what there was at the start.
+func (p *Planner) isSettled(service string, now clock.Instant) bool {
+	t, ok := p.trends[service]
+	return ok && t.since != 0 && now.Sub(t.since) >= settleTime
+}
+
+// need is the number of upstreams that carry the load, and it falls by steps.
+func (p *Planner) need(s *catalog.Service, have map[subject]int, load Load, now clock.Instant) int {
+	t := p.trends[s.Name]
+	defer func() { p.trends[s.Name] = t }()
+	there := sum(have, false) + sum(have, true)
+	if load == (Load{}) && t.since == 0 {
+		t.need = max(t.need, sum(have, false))
+		return t.need
+	}
+	if t.since == 0 {
+		t.since, t.at = now, now
+	}
+	open := load.Open / (openShare * float64(max(s.Engine.Slots, 1)))
+	read := load.Reading / (readShare * readTokensPerSecond)
+	need := int(math.Ceil(max(open, read, 1)))
+	// An overload looks like more than it is: requests are read again.
+	need = min(need, max(t.need, there+growth))
+	switch {
+	case need >= t.need:
+		t.need, t.at = need, now
+	case now.Sub(t.at) >= lullTime:
+		t.need, t.at = t.need-1, now.Add(stepTime-lullTime)
+	}
+	return t.need
+}
+
+// sum counts the upstreams of one kind.
+func sum(have map[subject]int, reclaimable bool) int {
+	n := 0
+	for s, count := range have {
+		if s.reclaimable == reclaimable {
+			n += count
+		}
+	}
+	return n
+}
+
+// consider adds an order if one is due.
+func (p *Planner) consider(due []Order, s subject, wanted, have, need int, service *catalog.Service, now clock.Instant) []Order {
+	last, ordered := p.orders[s]
+	if now.Before(last.refusedUntil) {
+		return due
+	}
+	if !ordered && wanted == have {
+		return due
+	}
+	if ordered && last.count == wanted {
+		if wanted == have || now.Sub(last.at) < service.Scale.Boot+orderSlack {
+			return due
+		}
+	}
+	p.orders[s] = standing{count: wanted, at: now}
+	return append(due, Order{
+		Service: s.service, FailureDomain: s.failureDomain, Reclaimable: s.reclaimable,
+		Count: wanted, Have: have, Need: need,
+	})
+}
+
+// Refused notes that an order was not taken. It is made again after a while.
+func (p *Planner) Refused(o Order, now clock.Instant) {
+	s := subject{service: o.Service, failureDomain: o.FailureDomain, reclaimable: o.Reclaimable}
+	p.orders[s] = standing{count: -1, at: now, refusedUntil: now.Add(refusalWait)}
+}
+
+// domainsOf returns the failure domains of a service, the cheapest first.
+func domainsOf(s *catalog.Service, upstreams []*catalog.Upstream) []string {
+	seen := make(map[string]bool)
+	for domain := range s.Scale.Prices {
+		seen[domain] = true
+	}
+	for _, u := range upstreams {
+		if u.Service == s.Name {
+			seen[u.FailureDomain] = true
+		}
+	}
+	list := make([]string, 0, len(seen))
+	for domain := range seen {
+		list = append(list, domain)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := s.Scale.Prices[list[i]], s.Scale.Prices[list[j]]
+		if a != b {
+			return a < b
+		}
+		return list[i] < list[j]
+	})
+	return list
+}
+
+// count counts the upstreams of a service that stay.
+func count(service string, upstreams []*catalog.Upstream) map[subject]int {
+	have := make(map[subject]int)
+	for _, u := range upstreams {
+		if u.Service == service && !u.Leaving {
+			have[subject{service: service, failureDomain: u.FailureDomain, reclaimable: u.Reclaimable}]++
+		}
+	}
+	return have
+}
