--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -243,3 +243,22 @@
 	e.log.Info().Str("duty", ended.Duty).Msg("stopped")
 	return ended.Err
 }
+
+// Close ends all duties and connections after Run has returned, for a process
+// that goes on.
+func (e *Entry) Close() error {
+	e.drain.inbox.Close()
+	e.watch.inbox.Close()
+	e.cluster.inbox.Close()
+	e.directory.inbox.Close()
+	e.dispatch.inbox.Close()
+	e.upstream.Close()
+	e.platform.Close()
+	e.report.Close()
+	err := e.group.Join()
+	e.server.Close()
+	if e.admin != nil {
+		e.admin.Close()
+	}
+	return err
+}
--- a/serving/cluster/view.go
+++ b/serving/cluster/view.go
@@ -35,7 +35,7 @@
 		seen[card.Instance] = true
 		p := v.peers[card.Instance]
 		if p == nil {
-			p = &peer{}
+			p = &peer{changed: now}
 			v.peers[card.Instance] = p
 		}
 		if p.card.Sequence != card.Sequence || p.card.Incarnation != card.Incarnation {
--- /dev/null
+++ b/serving/scale/planner_test.go
@@ -0,0 +1,122 @@
+package scale_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
+	"github.com/sycamorecourse/sycamorecourse/serving/scale"
+)
+
+func TestScale(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "scale")
+}
+
+// market carries orders out at once.
+type market struct {
+	counts map[string]int // by failure domain and kind
+	dry    bool
+}
+
+func key(domain string, reclaimable bool) string {
+	if reclaimable {
+		return domain + "/reclaimable"
+	}
+	return domain
+}
+
+func (m *market) upstreams() []*catalog.Upstream {
+	var list []*catalog.Upstream
+	for _, domain := range []string{"x", "y", "z"} {
+		for _, reclaimable := range []bool{false, true} {
+			for range m.counts[key(domain, reclaimable)] {
+				list = append(list, &catalog.Upstream{Service: "s", FailureDomain: domain, Reclaimable: reclaimable})
+			}
+		}
+	}
+	return list
+}
+
+func (m *market) total(reclaimable bool) int {
+	n := 0
+	for _, domain := range []string{"x", "y", "z"} {
+		n += m.counts[key(domain, reclaimable)]
+	}
+	return n
+}
+
+var _ = Describe("Planner", func() {
+	service := &catalog.Service{
+		Name: "s", Engine: &catalog.Engine{Slots: 64},
+		Scale: &catalog.Scale{Min: 1, Max: 6, Boot: 4 * time.Second, ReclaimablePrice: 0.2, Prices: map[string]float64{"x": 1, "y": 2, "z": 3}},
+	}
+	var (
+		m   *market
+		p   *scale.Planner
+		now clock.Instant
+	)
+	BeforeEach(func() {
+		m = &market{counts: map[string]int{"x": 3, "y": 3, "z": 3}}
+		p = scale.NewPlanner()
+		now = clock.Instant(time.Hour)
+	})
+	run := func(load scale.Load, seconds int) (orders int) {
+		for range seconds {
+			now = now.Add(time.Second)
+			for _, o := range p.Plan(service, m.upstreams(), load, now) {
+				orders++
+				ExpectWithOffset(1, o.Count).To(BeNumerically(">=", 0))
+				more := o.Count > m.counts[key(o.FailureDomain, o.Reclaimable)]
+				if m.dry && more {
+					p.Refused(o, now)
+					continue
+				}
+				m.counts[key(o.FailureDomain, o.Reclaimable)] = o.Count
+				both := m.counts[key(o.FailureDomain, false)] + m.counts[key(o.FailureDomain, true)]
+				ExpectWithOffset(1, both).To(BeNumerically("<=", service.Scale.Max))
+			}
+		}
+		return orders
+	}
+
+	It("gives nothing up before it knows the load", func() {
+		run(scale.Load{}, 30)
+		Expect(m.total(false)).To(Equal(9))
+	})
+
+	It("follows the load down by steps and up at once", func() {
+		run(scale.Load{Open: 40, Reading: 60_000}, 60)
+		Expect(m.total(false)).To(BeNumerically("<", 9))
+		Expect(m.total(false)).To(BeNumerically(">=", 3))
+		Expect(m.total(true)).To(BeNumerically(">", 0))
+		before := m.total(false)
+		run(scale.Load{Open: 200, Reading: 250_000}, 5)
+		Expect(m.total(false)).To(BeNumerically(">", before))
+	})
+
+	It("settles: a steady load gives no orders any more", func() {
+		run(scale.Load{Open: 40, Reading: 60_000}, 60)
+		Expect(run(scale.Load{Open: 40, Reading: 60_000}, 60)).To(BeZero())
+	})
+
+	It("orders again what was taken away, and goes on asking while there is none", func() {
+		run(scale.Load{Open: 40, Reading: 60_000}, 60)
+		had := m.counts["x/reclaimable"]
+		m.counts["x/reclaimable"] = 0
+		m.dry = true
+		Expect(run(scale.Load{Open: 40, Reading: 60_000}, 20)).To(BeNumerically(">", 2))
+		Expect(m.counts["x/reclaimable"]).To(BeZero())
+		m.dry = false
+		run(scale.Load{Open: 40, Reading: 60_000}, 5)
+		Expect(m.counts["x/reclaimable"]).To(Equal(had))
+	})
+
+	It("leaves services alone that can't be ordered", func() {
+		Expect(p.Plan(&catalog.Service{Name: "s"}, m.upstreams(), scale.Load{Open: 1}, now)).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/standin/replica/run.go
@@ -0,0 +1,15 @@
+package replica
+
+import "net/http"
+
+// Run is a request that was run.
+type Run struct {
+	// ID is the caller's name of the request.
+	ID string
+	// Header holds the fields as they arrived.
+	Header http.Header
+	// Body is the whole body.
+	Body []byte
+	// Target is the path that was asked for.
+	Target string
+}
