--- a/daemon/command/entry_gateway.go
+++ b/daemon/command/entry_gateway.go
@@ -40,7 +40,15 @@
 
 // Execute implements subcommands.Command.
 func (c *EntryGateway) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	log := logs.New(os.Stdout, zerolog.InfoLevel)
+	queue := logs.NewQueue(os.Stdout)
+	status := c.run(logs.New(queue, zerolog.InfoLevel), queue)
+	if queue.Close() != nil {
+		return subcommands.ExitFailure
+	}
+	return status
+}
+
+func (c *EntryGateway) run(log zerolog.Logger, queue *logs.Queue) subcommands.ExitStatus {
 	if err := c.set.Load(); err != nil {
 		log.Error().Str("cause", err.Error()).Msg("settings_invalid")
 		return subcommands.ExitUsageError
@@ -55,11 +63,13 @@
 		return subcommands.ExitUsageError
 	}
 	role := entry.New(file, log, Release)
+	role.AddRing(queue.Stats)
 	if err := role.Open(); err != nil {
 		log.Error().Str("cause", err.Error()).Msg("start_failed")
 		return subcommands.ExitFailure
 	}
 	onTermination(stopSignals, role.Stop)
+	onReload(role.Reload)
 	if err := role.Run(); err != nil {
 		return subcommands.ExitFailure
 	}
--- a/daemon/entry/clusterer.go
+++ b/daemon/entry/clusterer.go
@@ -28,14 +28,17 @@
 	leaseName = "duties"
 	// heartbeatEvery is the time between two writes of the own row.
 	heartbeatEvery = time.Second
-	// silenceLimit is how long a row may stay as it is until its gateway counts as
-	// dead.
-	silenceLimit = 3500 * time.Millisecond
+	// silenceLimit is how long a row may stay as it is until callers are not told
+	// of its gateway any more.
+	silenceLimit = 2300 * time.Millisecond
+	// holdLimit is how long a gateway keeps its part of the customers' limits
+	// without a change of its row.
+	holdLimit = 8 * time.Second
 	// removeAfter is how long the row of a dead gateway stays.
 	removeAfter = time.Minute
 	// usageSettle is how long after the end of a window all gateways have told
 	// their counts.
-	usageSettle = 2500 * time.Millisecond
+	usageSettle = 4500 * time.Millisecond
 	// reportRetry is the wait after a report that failed.
 	reportRetry = 500 * time.Millisecond
 )
@@ -279,8 +282,13 @@
 	if len(addresses) > 0 {
 		offerOr(c.directory, directoryMessage{addresses: addresses}, c.log)
 	}
-	live := max(len(c.view.Live()), 1)
-	offerOr(c.dispatch, dispatchMessage(setShares{gateways: live, shares: c.view.Shares(c.card.Instance)}), c.log)
+	news := setShares{gateways: max(len(c.view.Holders()), 1), shares: c.view.Shares(c.card.Instance)}
+	for _, card := range ready {
+		if card.Instance != c.card.Instance {
+			news.others++
+		}
+	}
+	offerOr(c.dispatch, dispatchMessage(news), c.log)
 	offerOr(c.dispatch, dispatchMessage(setClock{ahead: c.ahead()}), c.log)
 }
 
--- a/daemon/entry/dispatch_message.go
+++ b/daemon/entry/dispatch_message.go
@@ -1,7 +1,7 @@
 package entry
 
 // dispatchMessage is a message to dispatch: arrive, news, callerGone,
-// setCatalog, setUpstreams, setShares, setClock, wrapUp, stopTaking, askOpen or
+// setCatalog, setUpstreams, confirmView, setBudget, setShares, setClock, wrapUp, stopTaking, askOpen or
 // dumpDispatch.
 type dispatchMessage interface {
 	isDispatchMessage()
--- a/daemon/entry/dispatcher.go
+++ b/daemon/entry/dispatcher.go
@@ -78,14 +78,19 @@
 		d.core.Configure(m.catalog, now)
 	case setUpstreams:
 		d.core.SetUpstreams(m.list, now)
+	case setBudget:
+		d.core.SetBudget(m.ratio, m.extra, m.window)
+	case confirmView:
+		d.core.Confirm(now)
 	case setShares:
 		d.core.SetShares(m.gateways, m.shares)
+		d.core.SetOthers(m.others)
 	case setClock:
 		d.ahead = m.ahead
 	case wrapUp:
 		d.wrapUp = true
 	case stopTaking:
-		d.core.Leave()
+		d.core.Leave(m.until)
 	case askOpen:
 		_ = m.reply.Offer(d.core.Open())
 	case dumpDispatch:
--- a/daemon/entry/drain.go
+++ b/daemon/entry/drain.go
@@ -12,11 +12,11 @@
 const (
 	// openWait is the time between two questions whether all requests have ended.
 	openWait = 50 * time.Millisecond
-	// takeFor is how long a stopping process still takes requests, while callers
-	// learn of other addresses.
-	takeFor = 3 * time.Second
+	// takeFor is how long a stopping process still takes requests of any length,
+	// while callers learn of other addresses.
+	takeFor = time.Second
 	// leastStop is how long a stopping process stays at least.
-	leastStop = 4 * time.Second
+	leastStop = 2500 * time.Millisecond
 	// stopMargin is the time before the kill at which a process ends by itself.
 	stopMargin = 300 * time.Millisecond
 )
@@ -53,7 +53,7 @@
 		passed := d.clock.Now().Sub(start)
 		if takes && passed >= takeFor {
 			takes = false
-			offerOr(d.dispatch, dispatchMessage(stopTaking{}), d.log)
+			offerOr(d.dispatch, dispatchMessage(stopTaking{until: start.Add(d.limit - stopMargin)}), d.log)
 		}
 		open := d.open()
 		switch {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -44,7 +44,7 @@
 	// caller keeps one.
 	callerIdle = 90 * time.Second
 	// addressKeep is how long callers are told to keep addresses.
-	addressKeep = 2 * time.Second
+	addressKeep = time.Second
 	// leaseMargin covers the difference of the rates of two clocks over a lease.
 	leaseMargin = 300 * time.Millisecond
 	// leaseRenew is the time between two renewals of a lease.
@@ -75,6 +75,7 @@
 	cluster   *clusterer
 	directory *directory
 	drain     *drain
+	reloader  *reloader
 	upstream  *httpc.Client
 	platform  *httpc.Client
 	server    *httpd.Server
@@ -118,6 +119,7 @@
 		inbox: ring.New[drainMessage]("drain", controlSlots), dispatch: dispatches, cluster: clusters, directory: directories,
 		limit: s.StopLimit, clock: clock.System{}, log: log,
 	}
+	e.reloader = &reloader{inbox: ring.New[reloadMessage]("reload", controlSlots), dispatch: dispatches, path: s.Path, log: log}
 	in := &intake{callerAddress: s.CallerAddress, dispatch: dispatches, directory: directories, log: log}
 	e.server = httpd.New(httpd.Config{
 		Address:     s.CallerAddress,
@@ -165,7 +167,7 @@
 		card: cluster.Card{
 			Instance: s.Instance, Incarnation: incarnation, FailureDomain: s.FailureDomain, Address: s.CallerAddress,
 		},
-		view:     cluster.NewView(silenceLimit),
+		view:     cluster.NewView(silenceLimit, holdLimit),
 		tally:    usage.NewTally(window),
 		reporter: usage.NewReporter(window, usageSettle, s.UsageLimit),
 		reports:  s.ReportsUsage && s.CloudAddress != "",
@@ -193,6 +195,12 @@
 	})
 }
 
+// AddRing makes a ring of the process part of the dump and the metrics. It is
+// called before Run.
+func (e *Entry) AddRing(stats func() ring.Stats) {
+	e.report.AddRing(stats)
+}
+
 // Open starts the servers and clients.
 func (e *Entry) Open() error {
 	if err := e.upstream.Open(); err != nil {
@@ -218,6 +226,13 @@
 	}
 }
 
+// Reload asks for the settings file to be read again. Any thread may call it.
+func (e *Entry) Reload() {
+	if err := e.reloader.inbox.Offer(reloadMessage{}); err != nil {
+		e.log.Warn().Str("cause", err.Error()).Msg("reload_repeated")
+	}
+}
+
 // Run runs the duties until a shutdown is complete or one of them fails. It
 // returns nil after a graceful end.
 func (e *Entry) Run() error {
@@ -228,6 +243,7 @@
 	e.group.Start("cluster", e.cluster.run)
 	e.group.Start("watch", e.watch.run)
 	e.group.Start("drain", e.drain.run)
+	e.group.Start("reload", e.reloader.run)
 	e.group.Start("report", e.report.Run)
 	s := e.settings
 	e.log.Info().Str("instance", s.Instance).Str("failure_domain", s.FailureDomain).
@@ -248,6 +264,7 @@
 // that goes on.
 func (e *Entry) Close() error {
 	e.drain.inbox.Close()
+	e.reloader.inbox.Close()
 	e.watch.inbox.Close()
 	e.cluster.inbox.Close()
 	e.directory.inbox.Close()
--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -41,6 +41,8 @@
 	config  *catalog.Catalog
 	told    bool // the others know that this process is configured
 	pending bool // the list of upstreams has changed
+	// configChanged is set while dispatch lacks the configuration.
+	configChanged bool
 	// fleetChanged is set while the cluster duty lacks what has changed.
 	fleetChanged bool
 }
@@ -80,6 +82,9 @@
 // wait is the time until a call or a change of the list is due.
 func (w *watch) wait(now clock.Instant) time.Duration {
 	wait := feedWait
+	if w.pending || w.configChanged || w.fleetChanged {
+		wait = watchRetry
+	}
 	for _, t := range w.tables {
 		if !t.calling {
 			wait = min(wait, t.retryAt.Sub(now))
@@ -171,12 +176,16 @@
 		w.config = next
 		w.log.Info().Uint64("config", next.Version).Uint64("store_version", r.Version).
 			Int("routes", next.RouteCount()).Int("customers", len(next.Customers)).Msg("config_in_force")
-		offerOr(w.dispatch, dispatchMessage(setCatalog{catalog: next}), w.log)
+		w.configChanged = true
 		w.fleetChanged = true
 	}
 }
 
 func (w *watch) takeUpstreams(p rows.Page, isList bool, now clock.Instant) {
+	if len(p.Rows) == 0 && !isList {
+		offerOr(w.dispatch, dispatchMessage(confirmView{}), w.log)
+		return
+	}
 	list := make(map[string]*catalog.Upstream)
 	for _, r := range p.Rows {
 		id := r.Key.Sort
@@ -211,6 +220,9 @@
 	if next, ok := w.roster.NextChange(); ok && !now.Before(next) {
 		w.pending = true
 	}
+	if w.configChanged && w.dispatch.Offer(setCatalog{catalog: w.config}) == nil {
+		w.configChanged = false
+	}
 	if w.pending && w.dispatch.Offer(setUpstreams{list: w.roster.Usable(now)}) == nil {
 		w.pending = false
 		w.fleetChanged = true
@@ -218,7 +230,7 @@
 	if w.fleetChanged && w.cluster.Offer(setFleet{catalog: w.config, upstreams: w.roster.List()}) == nil {
 		w.fleetChanged = false
 	}
-	if !w.told && w.config != nil && w.tables[served.UpstreamTable].version > 0 && !w.pending {
+	if !w.told && w.config != nil && w.tables[served.UpstreamTable].version > 0 && !w.pending && !w.configChanged {
 		w.told = true
 		w.log.Info().Uint64("config", w.config.Version).Msg("ready")
 		offerOr(w.directory, directoryMessage{configured: true}, w.log)
--- a/proof/entry/path_test.go
+++ b/proof/entry/path_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -294,3 +296,19 @@
 		Expect(g.ended.Join()).To(Succeed())
 	})
 })
+
+var _ = Describe("The settings file", func() {
+	It("is read again when asked and when it changes, and a broken one changes nothing", func() {
+		s := newSite()
+		s.configure()
+		path := filepath.Join(GinkgoT().TempDir(), "boot.toml")
+		Expect(os.WriteFile(path, []byte("node = \"a\""), 0o600)).To(Succeed())
+		g := s.startWith("g1", path)
+		Eventually(g.isReady, "15s", "20ms").Should(BeTrue())
+		g.role.Reload()
+		Eventually(g.logged, "5s", "20ms").Should(ContainSubstring("event=settings_invalid"))
+		Expect(os.WriteFile(path, []byte("node = \"a\"\n[listen]\nfront=\"a\"\nready=\"b\"\ndirectory=\"c\"\n[platform]\naddress=\"d\"\n"), 0o600)).To(Succeed())
+		Eventually(g.logged, "10s", "50ms").Should(ContainSubstring("event=settings_reloaded changed=true"))
+		Expect(g.isReady()).To(BeTrue())
+	})
+})
--- a/proof/entry/site_test.go
+++ b/proof/entry/site_test.go
@@ -103,7 +103,24 @@
 	settings *boot.Settings
 	role     *entry.Entry
 	ended    *thread.Thread
-	log      *bytes.Buffer
+	log      *lines
+}
+
+// lines keeps what a process has logged.
+type lines struct {
+	text *ring.Ring[string]
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	_ = l.text.Offer(string(p))
+	return len(p), nil
+}
+
+// logged returns the next line of the log.
+func (g *gateway) logged() string {
+	line, _, err := g.log.text.TakeUntil(0)
+	Expect(err).NotTo(HaveOccurred())
+	return line
 }
 
 func free() string {
@@ -121,15 +138,20 @@
 }
 
 func (s *site) startUnready(name string) *gateway {
+	return s.startWith(name, "")
+}
+
+// startWith starts an entry role with the path of a settings file.
+func (s *site) startWith(name, path string) *gateway {
 	settings := &boot.Settings{
-		Instance: name, FailureDomain: "z", Region: "r",
+		Path: path, Instance: name, FailureDomain: "z", Region: "r",
 		CallerAddress: free(), ReadyAddress: free(), DirectoryAddress: free(), AdminAddress: free(),
 		StoreAddress: s.store.Address(), CloudAddress: s.cloud.Address(), ReportsUsage: true,
 		StopLimit: 8 * time.Second, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
 		LeaseTime: 3 * time.Second, UsageWindow: 2 * time.Second, UsageLimit: 10 * time.Second, AddressKeep: 5 * time.Second,
 	}
-	g := &gateway{settings: settings, log: &bytes.Buffer{}}
-	g.role = entry.New(settings, logs.New(zerolog.SyncWriter(g.log), zerolog.InfoLevel), "test")
+	g := &gateway{settings: settings, log: &lines{text: ring.New[string]("lines", 1024)}}
+	g.role = entry.New(settings, logs.New(g.log, zerolog.InfoLevel), "test")
 	Expect(g.role.Open()).To(Succeed())
 	g.ended = thread.Start("entry", g.role.Run)
 	DeferCleanup(func() {
--- a/serving/cluster/view.go
+++ b/serving/cluster/view.go
@@ -11,20 +11,23 @@
 // View is what one gateway knows of all gateways. One thread owns it.
 type View struct {
 	silence time.Duration
+	hold    time.Duration
 	peers   map[string]*peer
 	read    clock.Instant
 }
 
-// NewView makes an empty view. A gateway whose row did not change for the given
-// time counts as dead.
-func NewView(silence time.Duration) *View {
-	return &View{silence: silence, peers: make(map[string]*peer)}
+// NewView makes an empty view. A gateway whose row did not change for the first
+// time is left out of the lists of live ones; for the second, longer one it keeps
+// its part of what is divided, since it may serve on while it can't reach the
+// store.
+func NewView(silence, hold time.Duration) *View {
+	return &View{silence: silence, hold: hold, peers: make(map[string]*peer)}
 }
 
 // Read takes all rows as read at an instant.
 func (v *View) Read(cards []Card, now clock.Instant) {
 	// Time in which no read succeeded is not held against anybody.
-	if gap := now.Sub(v.read); v.read != 0 && gap > v.silence/2 {
+	if gap := now.Sub(v.read); v.read != 0 && gap >= v.silence {
 		for _, p := range v.peers {
 			p.changed = p.changed.Add(gap)
 		}
@@ -52,9 +55,18 @@
 
 // Live returns the gateways that write their rows, ordered by name.
 func (v *View) Live() []Card {
+	return v.within(v.silence)
+}
+
+// Holders returns the gateways that keep a part of what is divided.
+func (v *View) Holders() []Card {
+	return v.within(v.hold)
+}
+
+func (v *View) within(silence time.Duration) []Card {
 	var list []Card
 	for _, p := range v.peers {
-		if v.read.Sub(p.changed) < v.silence {
+		if v.read.Sub(p.changed) < silence {
 			list = append(list, p.card)
 		}
 	}
@@ -137,10 +149,10 @@
 // of the others is as old: else the parts would exceed the whole while demand
 // rises.
 func (v *View) Shares(self string) map[string]float64 {
-	live := v.Live()
+	holders := v.Holders()
 	totals := make(map[string]float64)
 	own := make(map[string]float64)
-	for _, card := range live {
+	for _, card := range holders {
 		for customer, demand := range card.Demand {
 			if card.Instance == self {
 				demand = min(demand, v.peers[self].former.Demand[customer])
@@ -150,7 +162,7 @@
 		}
 	}
 	shares := make(map[string]float64, len(totals))
-	even := 1 / float64(max(len(live), 1))
+	even := 1 / float64(max(len(holders), 1))
 	for customer, total := range totals {
 		if total <= 0 {
 			continue
--- a/serving/cluster/view_test.go
+++ b/serving/cluster/view_test.go
@@ -28,7 +28,7 @@
 	}
 
 	It("takes a gateway for dead whose row does not change, and no other", func() {
-		v := cluster.NewView(3 * time.Second)
+		v := cluster.NewView(3*time.Second, 3*time.Second)
 		for i := range 6 {
 			v.Read([]cluster.Card{{Instance: "a", Sequence: uint64(i)}, {Instance: "b", Sequence: 1}}, at(time.Duration(i)*time.Second))
 		}
@@ -36,7 +36,7 @@
 	})
 
 	It("takes nobody for dead for time in which nothing could be read", func() {
-		v := cluster.NewView(3 * time.Second)
+		v := cluster.NewView(3*time.Second, 3*time.Second)
 		cards := []cluster.Card{{Instance: "a", Sequence: 1}, {Instance: "b", Sequence: 1}}
 		v.Read(cards, at(0))
 		v.Read(cards, at(time.Minute))
@@ -48,7 +48,7 @@
 	})
 
 	It("counts what dead gateways have counted", func() {
-		v := cluster.NewView(time.Second)
+		v := cluster.NewView(time.Second, time.Second)
 		v.Read([]cluster.Card{
 			{Instance: "a", Windows: map[int64]map[string]uint64{7: {"x": 2}}},
 			{Instance: "b", Windows: map[int64]map[string]uint64{7: {"x": 3, "y": 1}, 8: {"x": 9}}},
@@ -57,7 +57,7 @@
 	})
 
 	It("takes the median of the clocks", func() {
-		v := cluster.NewView(time.Second)
+		v := cluster.NewView(time.Second, time.Second)
 		v.Read([]cluster.Card{{Instance: "a", Offset: 100}, {Instance: "b", Offset: 101}, {Instance: "c", Offset: -5000}}, at(0))
 		offset, ok := v.Offset()
 		Expect(ok).To(BeTrue())
@@ -87,7 +87,7 @@
 		}
 		sum := 0.0
 		for i := range cards {
-			v := cluster.NewView(time.Second)
+			v := cluster.NewView(time.Second, time.Second)
 			v.Read(cards, clock.Instant(time.Hour))
 			v.Read(cards, clock.Instant(time.Hour+1))
 			share, ok := v.Shares(cards[i].Instance)["x"]
--- a/serving/relay/core.go
+++ b/serving/relay/core.go
@@ -18,10 +18,12 @@
 	shares   map[string]float64
 	demands  map[string]*demand
 	gateways int
-	leaving  bool
-	viewed   clock.Instant
-	counts   Counts
-	actions  []Action
+	// leaveAt is when a gateway that stops ends; 0 while it does not stop.
+	leaveAt clock.Instant
+	others  int
+	viewed  clock.Instant
+	counts  Counts
+	actions []Action
 }
 
 // New makes a core that knows of no configuration and no upstream.
@@ -97,9 +99,22 @@
 	}
 }
 
-// Leave makes the core refuse requests that come from now on.
-func (c *Core) Leave() {
-	c.leaving = true
+// Leave makes the core refuse requests that may not end by an instant.
+func (c *Core) Leave(until clock.Instant) {
+	c.leaveAt = until
+}
+
+// SetOthers sets how many other gateways take requests.
+func (c *Core) SetOthers(others int) {
+	c.others = others
+}
+
+// SetBudget replaces the bounds of what may be sent once more.
+func (c *Core) SetBudget(ratio float64, extra int, window time.Duration) {
+	c.config.RetryRatio, c.config.RetryExtra, c.config.RetryWindow = ratio, extra, window
+	for _, p := range c.pools {
+		p.budget.ratio, p.budget.extra, p.budget.window = ratio, extra, window
+	}
 }
 
 // Open returns the number of requests in progress.
--- a/serving/relay/core_arrive.go
+++ b/serving/relay/core_arrive.go
@@ -13,6 +13,8 @@
 	// comeBackStarting is when a caller may come back to a gateway that has no
 	// configuration yet.
 	comeBackStarting = 500 * time.Millisecond
+	// usualStream is the time in which most streams end.
+	usualStream = 4 * time.Second
 	// defaultTimeout bounds a request when neither its caller nor its route do.
 	defaultTimeout = 30 * time.Second
 )
@@ -37,7 +39,7 @@
 			return
 		}
 	}
-	if c.leaving {
+	if c.mayNotEnd(s, now) {
 		c.refuse(s, Refusal{Reason: Leaving, RetryAfter: comeBackSoon}, now)
 		return
 	}
@@ -54,6 +56,20 @@
 	}
 }
 
+// mayNotEnd reports whether this gateway stops before the request is sure to
+// end. A stream is taken for as long as there is no other gateway to take it and
+// time for a usual one.
+func (c *Core) mayNotEnd(s *state, now clock.Instant) bool {
+	if c.leaveAt == 0 {
+		return false
+	}
+	left := c.leaveAt.Sub(now)
+	if isStream(s.route) {
+		return c.others > 0 || left < usualStream
+	}
+	return left < c.timeout(s)
+}
+
 // timeout is how long the caller is kept waiting for the whole answer.
 func (c *Core) timeout(s *state) time.Duration {
 	limit := s.route.Timeout
--- a/serving/relay/meter.go
+++ b/serving/relay/meter.go
@@ -9,7 +9,7 @@
 
 // startFill is the part of its burst that a customer may use at a gateway that
 // has just started: what it used there before is not known.
-const startFill = 0.5
+const startFill = 0.8
 
 // meter is this gateway's part of a customer's limit.
 type meter struct {
--- a/serving/relay/relay_test.go
+++ b/serving/relay/relay_test.go
@@ -291,3 +291,22 @@
 		Expect(where).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("A core that stops", func() {
+	It("takes what is sure to end, and streams while nobody else takes them", func() {
+		b := newBench()
+		b.upstreams("a", "b")
+		b.core.Leave(b.now.Add(6 * time.Second))
+		b.arrive("single")
+		Expect(of[relay.Send](b)).To(HaveLen(1))
+		b.core.SetOthers(1)
+		b.arrive("single")
+		Expect(of[relay.Refuse](b)[0].Refusal.Reason).To(Equal(relay.Leaving))
+		b.arrive("once")
+		Expect(of[relay.Send](b)).To(HaveLen(1))
+		b.pass(5500 * time.Millisecond)
+		b.core.Actions()
+		b.arrive("once")
+		Expect(of[relay.Refuse](b)[0].Refusal).To(Equal(relay.Refusal{Reason: relay.Leaving, NotRun: true, RetryAfter: 300 * time.Millisecond}))
+	})
+})
--- a/serving/relay/snapshot.go
+++ b/serving/relay/snapshot.go
@@ -21,7 +21,7 @@
 func (c *Core) Snapshot(now clock.Instant) Snapshot {
 	s := Snapshot{
 		Gateways: c.gateways,
-		Leaving:  c.leaving,
+		Leaving:  c.leaveAt != 0,
 		Open:     len(c.states),
 		ViewAge:  now.Sub(c.viewed),
 		Counts:   c.counts,
