scale: nothing ordered on demand before upstreams have registered

Cause: at the first plan no upstream had registered, so that one on-demand upstream was ordered in each failure domain whatever there was. Change: until the load is known, 0.55 of the upstreams that have registered count as needed, once their number has not grown for 3 s; more stay on demand while there are no reclaimable ones.

--- a/serving/scale/planner.go
+++ b/serving/scale/planner.go
@@ -27,13 +27,18 @@
 	spareShare = 1.2
 	// growth bounds how many more than there are may be needed.
 	growth = 3
-	// settleTime is how long the load must have been known before on-demand
-	// upstreams that were there at the start are given up.
-	settleTime = 5 * time.Second
+	// settleTime is how long the number of upstreams must have stayed the same at
+	// the start until all are taken to have registered.
+	settleTime = 3 * time.Second
+	// firstShare is the share of the upstreams that are there at the start which is
+	// taken to be needed until the load is known.
+	firstShare = 0.55
 	// lullTime is how long a need must have fallen before less is ordered.
-	lullTime = 5 * time.Second
+	lullTime = 3 * time.Second
 	// stepTime is the time between two steps down.
-	stepTime = time.Second
+	stepTime = 500 * time.Millisecond
+	// stepDown is the size of a step.
+	stepDown = 2
 	// orderSlack is how long after their boot ordered upstreams may be missing
 	// before they are ordered again.
 	orderSlack = 3 * time.Second
@@ -67,15 +72,14 @@
 	for i, domain := range domains {
 		plain := subject{service: s.Name, failureDomain: domain}
 		reclaimable := subject{service: s.Name, failureDomain: domain, reclaimable: true}
-		keep := have[plain]
-		if p.isSettled(s.Name, now) {
-			keep = part(onDemandShare*float64(need), i, len(domains))
-		}
+		keep := part(max(onDemandShare*float64(need), float64(need-sum(have, true))), i, len(domains))
 		keep = min(max(keep, leastOnDemand, s.Scale.Min), s.Scale.Max)
 		// Both kinds share the bound, so that room for one kind is what there is
 		// of the other, or will be.
 		spare := min(part(spareShare*float64(need), 0, len(domains)), s.Scale.Max-max(keep, have[plain]))
-		due = p.consider(due, plain, keep, have[plain], need, s, now)
+		if p.isSettled(s.Name, now) {
+			due = p.consider(due, plain, keep, have[plain], need, s, now)
+		}
 		due = p.consider(due, reclaimable, max(spare, 0), have[reclaimable], need, s, now)
 	}
 	return due
@@ -86,11 +90,11 @@
 	return max((int(math.Ceil(total))-i+parts-1)/parts, 0)
 }
 
-// isSettled reports whether the load has been known for long enough to give up
-// what there was at the start.
+// isSettled reports whether it is known what there was at the start, or what the
+// load is.
 func (p *Planner) isSettled(service string, now clock.Instant) bool {
-	t, ok := p.trends[service]
-	return ok && t.since != 0 && now.Sub(t.since) >= settleTime
+	t := p.trends[service]
+	return t.isLoaded || (t.first > 0 && now.Sub(t.since) >= settleTime)
 }
 
 // need is the number of upstreams that carry the load, and it falls by steps.
@@ -98,13 +102,11 @@
 	t := p.trends[s.Name]
 	defer func() { p.trends[s.Name] = t }()
 	there := sum(have, false) + sum(have, true)
-	if load == (Load{}) && t.since == 0 {
-		t.need = max(t.need, sum(have, false))
+	if load == (Load{}) && !t.isLoaded {
+		t.await(sum(have, false), now)
 		return t.need
 	}
-	if t.since == 0 {
-		t.since, t.at = now, now
-	}
+	t.isLoaded = true
 	open := load.Open / (openShare * float64(max(s.Engine.Slots, 1)))
 	read := load.Reading / (readShare * readTokensPerSecond)
 	need := int(math.Ceil(max(open, read, 1)))
@@ -114,7 +116,7 @@
 	case need >= t.need:
 		t.need, t.at = need, now
 	case now.Sub(t.at) >= lullTime:
-		t.need, t.at = t.need-1, now.Add(stepTime-lullTime)
+		t.need, t.at = max(need, t.need-stepDown), now.Add(stepTime-lullTime)
 	}
 	return t.need
 }
