--- a/serving/relay/core_place.go
+++ b/serving/relay/core_place.go
@@ -69,7 +69,8 @@
 }
 
 // home is the upstream that all gateways would choose for the shared parts of a
-// prompt if none were loaded; nil without a prompt.
+// prompt if none were loaded: an on-demand one, if there is any, since what it
+// holds stays.
 func (c *Core) home(s *state, keys []uint64, now clock.Instant) *member {
 	key := hashOf(s.request.ID)
 	switch {
@@ -80,7 +81,11 @@
 	}
 	var best *member
 	for _, m := range s.pool.order {
-		if c.mayGet(s, m, now) && (best == nil || m.rank(key) > best.rank(key)) {
+		if !c.mayGet(s, m, now) || (best != nil && m.upstream.Reclaimable && !best.upstream.Reclaimable) {
+			continue
+		}
+		isSafer := best != nil && best.upstream.Reclaimable && !m.upstream.Reclaimable
+		if best == nil || isSafer || m.rank(key) > best.rank(key) {
 			best = m
 		}
 	}
