--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -139,6 +139,7 @@
 		RetryRatio:  e.settings.RetryRatio,
 		RetryExtra:  e.settings.RetryExtra,
 		RetryWindow: e.settings.RetryWindow,
+		LimitSlack:  e.settings.LimitSlack,
 		Health: health.Config{
 			MaxEjectedShare: maxEjected,
 			Ejection:        ejection,
--- a/serving/relay/config.go
+++ b/serving/relay/config.go
@@ -16,6 +16,9 @@
 	RetryExtra int
 	// RetryWindow is the time over which both are counted.
 	RetryWindow time.Duration
+	// LimitSlack is by how much all gateways together may exceed a customer's limit
+	// over a while, in its unit.
+	LimitSlack float64
 	// Health holds the parameters of the ejection of failing upstreams.
 	Health health.Config
 }
--- a/serving/relay/core.go
+++ b/serving/relay/core.go
@@ -92,7 +92,7 @@
 	c.gateways = max(gateways, 1)
 	c.shares = shares
 	for name, m := range c.meters {
-		m.share = c.share(name)
+		m.share, m.slack = c.share(name), c.slack()
 		if c.catalog != nil && c.catalog.Customers[name] != nil {
 			m.configure(c.catalog.Customers[name])
 		}
@@ -167,6 +167,11 @@
 	c.actions = append(c.actions, a)
 }
 
+// slack is this gateway's part of the slack of a limit.
+func (c *Core) slack() float64 {
+	return slackShare * c.config.LimitSlack / float64(c.gateways)
+}
+
 func (c *Core) share(customer string) float64 {
 	if share, ok := c.shares[customer]; ok {
 		return share
--- a/serving/relay/core_arrive.go
+++ b/serving/relay/core_arrive.go
@@ -121,7 +121,7 @@
 func (c *Core) meter(customer *catalog.Customer, now clock.Instant) *meter {
 	m := c.meters[customer.Name]
 	if m == nil {
-		m = newMeter(c.share(customer.Name), customer, now)
+		m = newMeter(c.share(customer.Name), c.slack(), customer, now)
 		c.meters[customer.Name] = m
 	}
 	return m
--- a/serving/relay/meter.go
+++ b/serving/relay/meter.go
@@ -11,17 +11,23 @@
 // has just started: what it used there before is not known.
 const startFill = 0.8
 
+// slackShare is the part of the slack of a limit that all gateways together use,
+// so that a request which is large against a gateway's part of the burst is not
+// refused while the customer is below its limit.
+const slackShare = 0.5
+
 // meter is this gateway's part of a customer's limit.
 type meter struct {
 	share float64 // of the limit, 0 to 1
+	slack float64 // what may be used at once beside the part of the burst
 	rate  float64
 	burst float64
 	level float64
 	at    clock.Instant
 }
 
-func newMeter(share float64, c *catalog.Customer, now clock.Instant) *meter {
-	m := &meter{share: share, at: now}
+func newMeter(share, slack float64, c *catalog.Customer, now clock.Instant) *meter {
+	m := &meter{share: share, slack: slack, at: now}
 	m.configure(c)
 	m.level = startFill * m.burst
 	return m
@@ -30,7 +36,7 @@
 // configure takes the limit of a customer. A lower one binds at once.
 func (m *meter) configure(c *catalog.Customer) {
 	m.rate = c.Rate * m.share
-	m.burst = c.Burst * m.share
+	m.burst = c.Burst*m.share + m.slack
 	m.level = min(m.level, m.burst)
 }
 
--- a/serving/relay/relay_test.go
+++ b/serving/relay/relay_test.go
@@ -310,3 +310,34 @@
 		Expect(of[relay.Refuse](b)[0].Refusal).To(Equal(relay.Refusal{Reason: relay.Leaving, NotRun: true, RetryAfter: 300 * time.Millisecond}))
 	})
 })
+
+var _ = Describe("Limits of customers", func() {
+	It("stay within the slack over all gateways, and let a large request pass below the limit", func() {
+		const gateways, slack = 4, 20.0
+		var cores []*bench
+		for range gateways {
+			b := newBench()
+			b.core = relay.New(relay.Config{LimitSlack: slack})
+			b.core.Configure(testCatalog(1), b.now)
+			b.core.SetShares(gateways, nil)
+			b.upstreams("a")
+			cores = append(cores, b)
+		}
+		passed := 0
+		for range 800 {
+			for _, b := range cores {
+				b.pass(10 * time.Millisecond)
+				b.last++
+				b.core.Arrive(relay.Request{Handle: b.last, ID: "id", Host: "h", Path: "/once/x", Credential: "k"}, b.now)
+				for _, s := range of[relay.Send](b) {
+					passed++
+					b.core.Heard(s.Ref, ok, b.now)
+					b.core.Done(s.Ref, b.now)
+					b.core.Actions()
+				}
+			}
+		}
+		Expect(passed).To(BeNumerically("<=", 8*10+4+slack))
+		Expect(passed).To(BeNumerically(">=", 8*10))
+	})
+})
