--- a/serving/scale/planner.go
+++ b/serving/scale/planner.go
@@ -30,6 +30,9 @@
 	// settleTime is how long the number of upstreams must have stayed the same at
 	// the start until all are taken to have registered.
 	settleTime = 3 * time.Second
+	// inheritTime is how long a new holder keeps what there is, while the load is
+	// that of gateways which may have just started.
+	inheritTime = 8 * time.Second
 	// firstShare is the share of the upstreams that are there at the start which is
 	// taken to be needed until the load is known.
 	firstShare = 0.55
@@ -106,6 +109,9 @@
 		t.await(sum(have, false), now)
 		return t.need
 	}
+	if !t.isLoaded && t.first == 0 {
+		t.inherit(sum(have, false), now)
+	}
 	t.isLoaded = true
 	open := load.Open / (openShare * float64(max(s.Engine.Slots, 1)))
 	read := load.Reading / (readShare * readTokensPerSecond)
--- a/serving/scale/planner_test.go
+++ b/serving/scale/planner_test.go
@@ -122,6 +122,16 @@
 		Expect(m.total(false)).To(BeNumerically(">", before))
 	})
 
+	It("gives nothing up at once as a new holder, whose load is that of gateways that have just started", func() {
+		run(scale.Load{Open: 60, Reading: 150_000}, 60)
+		before := m.total(false)
+		p = scale.NewPlanner()
+		run(scale.Load{Open: 2, Reading: 3_000}, 4)
+		Expect(m.total(false)).To(Equal(before))
+		run(scale.Load{Open: 2, Reading: 3_000}, 60)
+		Expect(m.total(false)).To(BeNumerically("<", before))
+	})
+
 	It("settles: a steady load gives no orders any more", func() {
 		run(scale.Load{Open: 40, Reading: 60_000}, 60)
 		Expect(run(scale.Load{Open: 40, Reading: 60_000}, 60)).To(BeZero())
--- a/serving/scale/trend.go
+++ b/serving/scale/trend.go
@@ -20,6 +20,12 @@
 	isLoaded bool
 }
 
+// inherit takes what a former holder has ordered for what is needed.
+func (t *trend) inherit(onDemand int, now clock.Instant) {
+	t.need = int(math.Ceil(float64(onDemand) / onDemandShare))
+	t.at = now.Add(inheritTime - lullTime)
+}
+
 // await takes the number of upstreams before any load.
 func (t *trend) await(there int, now clock.Instant) {
 	if there > t.first {
