--- a/serving/catalog/route.go
+++ b/serving/catalog/route.go
@@ -23,8 +23,8 @@
 	GapTarget time.Duration
 	// Rank orders requests when capacity is short: 0 goes first.
 	Rank int
-	// Backends are the services that may run the requests, by weight.
-	Backends []Backend
+	// Portions are the services that may run the requests, by weight.
+	Portions []Portion
 	// Attempts is the largest number of upstreams that may run one request.
 	Attempts int
 	// Public routes need no credential.
--- a/serving/relay/core_arrive.go
+++ b/serving/relay/core_arrive.go
@@ -86,17 +86,17 @@
 // request gets the same one everywhere.
 func service(r *catalog.Route, id string) string {
 	total := 0
-	for _, b := range r.Backends {
+	for _, b := range r.Portions {
 		total += b.Weight
 	}
 	if total <= 0 {
-		if len(r.Backends) == 0 {
+		if len(r.Portions) == 0 {
 			return ""
 		}
-		return r.Backends[0].Service
+		return r.Portions[0].Service
 	}
 	at := int(hashOf(id) % uint64(total))
-	for _, b := range r.Backends {
+	for _, b := range r.Portions {
 		if at -= b.Weight; at < 0 {
 			return b.Service
 		}
--- a/serving/relay/relay_test.go
+++ b/serving/relay/relay_test.go
@@ -36,7 +36,7 @@
 		return &catalog.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Attempts: attempts, Resumable: resumable,
 			Timeout: time.Second, Target: 300 * time.Millisecond, GapTarget: 200 * time.Millisecond,
-			Backends: []catalog.Backend{{Service: "s", Weight: 1}}, Public: true,
+			Portions: []catalog.Portion{{Service: "s", Weight: 1}}, Public: true,
 		}
 	}
 	return catalog.New(version, []*catalog.Route{
