Fewer calls to the store: candidates for the lease, feeds by the bounds, changes gathered

Change: three gateways watch the lease; a feed waits 0.55 of the time in which news must have arrived; changes that come within 0.1 s cost one call; heartbeats are spread to 50 ms for each gateway, 3 s at most; the directory tells more than 64 gateways by turns; an upstream's connections are divided by the gateways.

--- a/daemon/entry/clusterer.go
+++ b/daemon/entry/clusterer.go
@@ -25,14 +25,21 @@
 	usageTable = "usage"
 	// leaseName names the lease of all singleton duties.
 	leaseName = "duties"
-	// heartbeatEvery is the time between two writes of the own row.
+	// heartbeatEvery is the least time between two writes of the own row.
 	heartbeatEvery = time.Second
-	// silenceLimit is how long a row may stay as it is until callers are not told
-	// of its gateway any more.
-	silenceLimit = 2300 * time.Millisecond
+	// heartbeatEach is added up over the gateways to the time between two writes,
+	// so that the writes of all together stay bounded.
+	heartbeatEach = 50 * time.Millisecond
+	// longestHeartbeat bounds the time between two writes.
+	longestHeartbeat = 3 * time.Second
+	// silentBeats is the number of heartbeats for which a row may stay as it is
+	// until callers are not told of its gateway any more.
+	silentBeats = 2.3
 	// holdLimit is how long a gateway keeps its part of the customers' limits
 	// without a change of its row.
 	holdLimit = 8 * time.Second
+	// candidates is the number of gateways that watch the lease of the duties.
+	candidates = 3
 	// removeAfter is how long the row of a dead gateway stays.
 	removeAfter = time.Minute
 	// usageSettle is how long after the end of a window all gateways have told
@@ -100,7 +107,7 @@
 
 // wait is the time until something is due.
 func (c *clusterer) wait(now clock.Instant) time.Duration {
-	wait := heartbeatEvery
+	wait := c.interval()
 	if !c.beating {
 		wait = min(wait, c.beatAt.Sub(now))
 	}
@@ -118,7 +125,7 @@
 		c.beat(now)
 	}
 	if c.leaseAt != 0 && !now.Before(c.leaseAt) {
-		c.step(c.lease.Next(now))
+		c.nextStep(now)
 	}
 	c.noteLease(now)
 	if c.holds && !c.reporting && !now.Before(c.reportAt) {
--- a/daemon/entry/clusterer_cards.go
+++ b/daemon/entry/clusterer_cards.go
@@ -14,7 +14,7 @@
 // the row may hold counts of this instance's former process.
 func (c *clusterer) beat(now clock.Instant) {
 	c.beating = true
-	c.beatAt = now.Add(heartbeatEvery)
+	c.beatAt = now.Add(c.interval())
 	if !c.readOnce {
 		c.readCards()
 		return
@@ -33,6 +33,12 @@
 	})
 }
 
+// interval is the time between two writes of the own row.
+func (c *clusterer) interval() time.Duration {
+	each := heartbeatEach * time.Duration(len(c.view.Holders()))
+	return min(max(heartbeatEvery, each), longestHeartbeat)
+}
+
 func windowsOf(t *usage.Tally) map[int64]map[string]uint64 {
 	out := make(map[int64]map[string]uint64, len(t.Windows()))
 	for window, counts := range t.Windows() {
@@ -72,6 +78,7 @@
 		}
 		cards = append(cards, card)
 	}
+	c.view.SetSilence(time.Duration(silentBeats*float64(c.interval())), holdLimit)
 	c.view.Read(cards, now)
 	if !c.readOnce {
 		c.readOnce = true
--- a/daemon/entry/clusterer_duty.go
+++ b/daemon/entry/clusterer_duty.go
@@ -33,6 +33,15 @@
 	}
 }
 
+// nextStep goes on with the lease, unless others are the ones that watch it.
+func (c *clusterer) nextStep(now clock.Instant) {
+	if !c.isLeaving && !c.holds && !c.view.IsCandidate(c.card.Instance, candidates) {
+		c.leaseAt = now.Add(leaseWatch)
+		return
+	}
+	c.step(c.lease.Next(now))
+}
+
 // noteLease logs and acts on a change of who holds the lease.
 func (c *clusterer) noteLease(now clock.Instant) {
 	fence, err := c.lease.Fence(now)
--- a/daemon/entry/directory.go
+++ b/daemon/entry/directory.go
@@ -20,6 +20,7 @@
 	keep      time.Duration
 	log       zerolog.Logger
 	addresses []string
+	turn      int
 	isReady   bool
 	isLeaving bool
 }
@@ -62,7 +63,14 @@
 	}
 }
 
-// choose returns the addresses that a caller is told.
+// choose returns the addresses that a caller is told, by turns if there are more
+// than it may be told at once.
 func (d *directory) choose() []string {
-	return d.addresses[:min(len(d.addresses), maxAddresses)]
+	if len(d.addresses) <= maxAddresses {
+		return d.addresses
+	}
+	d.turn = (d.turn + maxAddresses) % len(d.addresses)
+	list := append([]string{}, d.addresses[d.turn:]...)
+	list = append(list, d.addresses[:d.turn]...)
+	return list[:maxAddresses]
 }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -112,6 +112,7 @@
 	e.watch.inbox = ring.New[watchMessage]("watch", controlSlots)
 	e.watch.dispatch, e.watch.directory, e.watch.cluster = dispatches, directories, clusters
 	e.watch.store, e.watch.clock, e.watch.log = store, clock.System{}, log
+	e.watch.feedWait = feedWait(s.NewsLimit)
 	e.cluster = e.newClusterer(store, clusters)
 	e.directory = &directory{inbox: directories, keep: min(addressKeep, s.AddressKeep), log: log}
 	e.directory.addresses = []string{s.CallerAddress}
@@ -168,7 +169,7 @@
 		card: cluster.Card{
 			Instance: s.Instance, Incarnation: incarnation, FailureDomain: s.FailureDomain, Address: s.CallerAddress,
 		},
-		view:     cluster.NewView(silenceLimit, holdLimit),
+		view:     cluster.NewView(time.Duration(silentBeats*float64(heartbeatEvery)), holdLimit),
 		tally:    usage.NewTally(window),
 		reporter: usage.NewReporter(window, usageSettle, s.UsageLimit),
 		reports:  s.ReportsUsage && s.CloudAddress != "",
--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -16,8 +16,16 @@
 )
 
 const (
-	// feedWait is how long the store holds a feed without changes.
-	feedWait = time.Second
+	// longestFeed and shortestFeed bound how long the store holds a feed without
+	// changes.
+	longestFeed  = 5 * time.Second
+	shortestFeed = 500 * time.Millisecond
+	// feedShare is the part of the time in which news must have arrived that the
+	// store holds a feed: a connection that has gone silent is found at its end.
+	feedShare = 0.55
+	// gatherTime is the pause after a change, so that those that come together
+	// cost one call.
+	gatherTime = 100 * time.Millisecond
 	// watchRetry is the wait after a failed call.
 	watchRetry = 150 * time.Millisecond
 	// lapseGrace is the time after the store's return in which the entries of live
@@ -35,6 +43,7 @@
 	store     *rows.Client
 	clock     clock.Clock
 	log       zerolog.Logger
+	feedWait  time.Duration
 
 	tables  map[string]*watched
 	roster  *roster.Roster
@@ -47,6 +56,12 @@
 	fleetChanged bool
 }
 
+// feedWait is how long the store holds a feed, given the time in which news must
+// have arrived.
+func feedWait(limit time.Duration) time.Duration {
+	return min(max(time.Duration(feedShare*float64(limit)), shortestFeed), longestFeed)
+}
+
 func newWatch() *watch {
 	return &watch{
 		roster: roster.New(lapseGrace),
@@ -81,7 +96,7 @@
 
 // wait is the time until a call or a change of the list is due.
 func (w *watch) wait(now clock.Instant) time.Duration {
-	wait := feedWait
+	wait := w.feedWait
 	if w.pending || w.configChanged || w.fleetChanged {
 		wait = watchRetry
 	}
@@ -109,7 +124,7 @@
 		w.store.List(t.table, "", done)
 		return
 	}
-	w.store.Feed(t.table, t.version, feedWait, done)
+	w.store.Feed(t.table, t.version, w.feedWait, done)
 }
 
 func (w *watch) heard(m watchMessage, now clock.Instant) {
@@ -131,6 +146,9 @@
 		t.retryAt = now.Add(watchRetry)
 		return
 	}
+	if len(m.page.Rows) > 0 && t.table == served.UpstreamTable {
+		t.retryAt = now.Add(gatherTime)
+	}
 	t.version = m.page.Version
 	t.heard = now
 	t.wantList = false
--- a/serving/cluster/view.go
+++ b/serving/cluster/view.go
@@ -24,6 +24,11 @@
 	return &View{silence: silence, hold: hold, peers: make(map[string]*peer)}
 }
 
+// SetSilence replaces the times of NewView.
+func (v *View) SetSilence(silence, hold time.Duration) {
+	v.silence, v.hold = silence, hold
+}
+
 // Read takes all rows as read at an instant.
 func (v *View) Read(cards []Card, now clock.Instant) {
 	// Time in which no read succeeded is not held against anybody.
@@ -117,6 +122,19 @@
 	return sum
 }
 
+// IsCandidate reports whether a gateway is one of the given number that watch the
+// lease of singleton duties: the first live ones by name, so that the calls for
+// it do not grow with the gateways. While no others are known it is one.
+func (v *View) IsCandidate(instance string, candidates int) bool {
+	ready := v.Ready()
+	for i, card := range ready {
+		if card.Instance == instance {
+			return i < candidates
+		}
+	}
+	return len(ready) < candidates
+}
+
 // Load sums what the live gateways ask of a service.
 func (v *View) Load(service string) scale.Load {
 	var sum scale.Load
--- a/serving/cluster/view_test.go
+++ b/serving/cluster/view_test.go
@@ -56,6 +56,24 @@
 		Expect(v.Count(7)).To(Equal(map[string]uint64{"x": 5, "y": 1}))
 	})
 
+	It("names a few candidates, and others when those fall silent", func() {
+		v := cluster.NewView(2*time.Second, 2*time.Second)
+		card := func(name string, sequence int) cluster.Card {
+			return cluster.Card{Instance: name, Sequence: uint64(sequence), Ready: true}
+		}
+		Expect(v.IsCandidate("d", 2)).To(BeTrue())
+		for i := range 4 {
+			v.Read([]cluster.Card{card("a", 1), card("b", i), card("c", i), card("d", i)}, at(time.Duration(i)*time.Second))
+			if i == 0 {
+				Expect(v.IsCandidate("a", 2)).To(BeTrue())
+				Expect(v.IsCandidate("c", 2)).To(BeFalse())
+			}
+		}
+		Expect(v.IsCandidate("a", 2)).To(BeFalse())
+		Expect(v.IsCandidate("c", 2)).To(BeTrue())
+		Expect(v.IsCandidate("d", 2)).To(BeFalse())
+	})
+
 	It("takes the median of the clocks", func() {
 		v := cluster.NewView(time.Second, time.Second)
 		v.Read([]cluster.Card{{Instance: "a", Offset: 100}, {Instance: "b", Offset: 101}, {Instance: "c", Offset: -5000}}, at(0))
--- a/serving/relay/core_place.go
+++ b/serving/relay/core_place.go
@@ -18,6 +18,9 @@
 	// errorLimit is the moving share of server errors from which an upstream may
 	// be at fault.
 	errorLimit = 0.4
+	// connectionShare is the part of an upstream's connections that gateways use,
+	// which leaves room for those that others do not know of yet.
+	connectionShare = 0.8
 	// maxSends bounds the sends of one request, those that were not run included.
 	maxSends = 4
 	// leastLeft is the least time in which an upstream may be expected to answer.
@@ -106,8 +109,12 @@
 
 // room is the number of this gateway's requests that an upstream may have at
 // once.
-func (c *Core) room(_ *pool, m *member) int {
-	return max(m.upstream.Slots, 1)
+func (c *Core) room(p *pool, m *member) int {
+	room := m.upstream.Slots
+	if s := c.catalog.Services[p.service]; s != nil && s.MaxConnections > 0 {
+		room = min(room, int(connectionShare*float64(s.MaxConnections)/float64(c.gateways)))
+	}
+	return max(room, 1)
 }
 
 // predict estimates the time to the first event at an upstream.
