Bounds on heads and bodies kept; fields that nothing read removed; a memory limit from the settings

The configuration's bounds on what callers may send were decoded and not kept: 413 and 431 now, with a spec of proof/entry that failed before. Fields of the catalog and of the settings that nothing reads are gone. The collector aims to stay under 0.7 of the process's memory.

--- a/daemon/command/entry_gateway.go
+++ b/daemon/command/entry_gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"os"
+	"runtime/debug"
 
 	"github.com/google/subcommands"
 	"github.com/rs/zerolog"
@@ -15,6 +16,10 @@
 	"github.com/sycamorecourse/sycamorecourse/platform/boot"
 )
 
+// memoryShare is the part of the process's memory that the collector aims to
+// stay under.
+const memoryShare = 0.7
+
 // EntryGateway runs an entry gateway on the users' platform. The zero value works.
 type EntryGateway struct {
 	set      *settings.Set
@@ -62,6 +67,9 @@
 		log.Error().Str("cause", err.Error()).Msg("settings_invalid")
 		return subcommands.ExitUsageError
 	}
+	if file.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(file.MemoryBytes)))
+	}
 	role := entry.New(file, log, Release)
 	role.AddRing(queue.Stats)
 	if err := role.Open(); err != nil {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -40,6 +40,9 @@
 	upstreamConnect = 300 * time.Millisecond
 	// storeConnect bounds the making of a connection to the store or the cloud.
 	storeConnect = 500 * time.Millisecond
+	// maxBodyBytes bounds the body of a request; the configuration's own bound,
+	// which callers keep to, is lower.
+	maxBodyBytes = 8 << 20
 	// callerIdle ends an unused connection of a caller. It is longer than any
 	// caller keeps one.
 	callerIdle = 90 * time.Second
@@ -123,10 +126,11 @@
 	e.reloader = &reloader{inbox: ring.New[reloadMessage]("reload", controlSlots), dispatch: dispatches, path: s.Path, log: log}
 	in := &intake{callerAddress: s.CallerAddress, dispatch: dispatches, directory: directories, log: log}
 	e.server = httpd.New(httpd.Config{
-		Address:     s.CallerAddress,
-		Also:        []string{s.ReadyAddress, s.DirectoryAddress},
-		Pollers:     1,
-		IdleTimeout: callerIdle,
+		Address:      s.CallerAddress,
+		Also:         []string{s.ReadyAddress, s.DirectoryAddress},
+		Pollers:      1,
+		MaxBodyBytes: maxBodyBytes,
+		IdleTimeout:  callerIdle,
 	}, in)
 	if s.AdminAddress != "" {
 		e.admin = httpd.New(httpd.Config{Address: s.AdminAddress, Pollers: 1}, e.report)
--- a/proof/entry/path_test.go
+++ b/proof/entry/path_test.go
@@ -84,6 +84,15 @@
 		Expect(statuses).To(ContainElement(http.StatusTooManyRequests))
 	})
 
+	It("refuses what is larger than callers may send", func() {
+		r := s.upstream("app", replica.Config{ID: "a"})
+		g = s.start("g1")
+		Expect(g.ask("POST", "/once/x", "key", strings.Repeat("b", 100001)).status).To(Equal(http.StatusRequestEntityTooLarge))
+		Expect(g.ask("POST", "/once/x", "key", "b", "X-Long", strings.Repeat("h", 8000)).status).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+		Expect(g.ask("POST", "/once/x", "key", strings.Repeat("b", 100000)).status).To(Equal(http.StatusOK))
+		Expect(runs(r)).To(HaveLen(1))
+	})
+
 	It("refuses a request without the fields that it needs", func() {
 		g = s.start("g1")
 		Expect(g.ask("POST", "/once/x", "key", "", "Deadline-Ms", "soon").status).To(Equal(http.StatusBadRequest))
--- a/proof/entry/site_test.go
+++ b/proof/entry/site_test.go
@@ -91,7 +91,7 @@
 	value, err := json.Marshal(map[string]any{
 		"version": s.version, "routes": append(routes, more...),
 		"services": []map[string]any{{"name": "llm"}, {"name": "app"}},
-		"limits":   map[string]any{"idle_timeout_ms": 15000},
+		"limits":   map[string]any{"max_header_bytes": 8000, "max_body_bytes": 100000},
 		"tenants":  []map[string]any{{"name": "acme", "api_keys": []string{"key"}}, {"name": "small", "api_keys": []string{"few"}, "rate_per_s": 1, "burst": 2}},
 	})
 	Expect(err).NotTo(HaveOccurred())
--- a/serving/catalog/limits.go
+++ b/serving/catalog/limits.go
@@ -1,15 +1,9 @@
 package catalog
 
-import "time"
-
 // Limits bound what callers may send.
 type Limits struct {
-	// MaxHeaderBytes bounds the head of a request.
-	MaxHeaderBytes int
-	// MaxBodyBytes bounds the body of a request.
+	// MaxHeadBytes bounds the head of a request; 0 is no bound.
+	MaxHeadBytes int
+	// MaxBodyBytes bounds the body of a request; 0 is no bound.
 	MaxBodyBytes int
-	// HeaderTimeout bounds the time in which a head arrives.
-	HeaderTimeout time.Duration
-	// IdleTimeout is the time for which an unused connection is kept.
-	IdleTimeout time.Duration
 }
--- a/serving/catalog/upstream.go
+++ b/serving/catalog/upstream.go
@@ -1,7 +1,5 @@
 package catalog
 
-import "time"
-
 // Upstream is one start of a process that runs the requests of a service.
 type Upstream struct {
 	// ID names the start.
@@ -16,12 +14,8 @@
 	Slots int
 	// Leaving upstreams get no new requests.
 	Leaving bool
-	// LeavesIn is the time left when it said that it leaves; 0 if unknown.
-	LeavesIn time.Duration
 	// Reclaimable upstreams may be taken away.
 	Reclaimable bool
-	// ColdFor is how much longer it was slow after its start, when it said so.
-	ColdFor time.Duration
 	// Born is when it started, in Unix milliseconds; 0 if unknown. An upstream
 	// that starts again under the same ID has a later one and knows nothing of
 	// before.
--- a/serving/relay/core_arrive.go
+++ b/serving/relay/core_arrive.go
@@ -27,6 +27,10 @@
 		c.refuse(s, Refusal{Reason: NotConfigured, RetryAfter: comeBackStarting}, now)
 		return
 	}
+	if reason, isOver := tooLarge(r, c.catalog.Limits); isOver {
+		c.refuse(s, Refusal{Reason: reason}, now)
+		return
+	}
 	s.route = c.catalog.Route(r.Host, r.Path)
 	if s.route == nil {
 		c.refuse(s, Refusal{Reason: NoRoute}, now)
@@ -56,6 +60,18 @@
 	}
 }
 
+// tooLarge reports whether a request is over what callers may send.
+func tooLarge(r Request, limits catalog.Limits) (Reason, bool) {
+	switch {
+	case limits.MaxHeadBytes > 0 && r.HeadBytes > limits.MaxHeadBytes:
+		return HeadTooLarge, true
+	case limits.MaxBodyBytes > 0 && r.BodyBytes > limits.MaxBodyBytes:
+		return BodyTooLarge, true
+	default:
+		return "", false
+	}
+}
+
 // mayNotEnd reports whether this gateway stops before the request is sure to
 // end. A stream is taken for as long as there is no other gateway to take it and
 // time for a usual one.
--- a/serving/relay/reason.go
+++ b/serving/relay/reason.go
@@ -11,6 +11,10 @@
 	NoRoute Reason = "no_route"
 	// Unauthorized is a request without a valid credential.
 	Unauthorized Reason = "unauthorized"
+	// HeadTooLarge is a request whose head is over the bound.
+	HeadTooLarge Reason = "head_too_large"
+	// BodyTooLarge is a request whose body is over the bound.
+	BodyTooLarge Reason = "body_too_large"
 	// Throttled is a request over the customer's limit.
 	Throttled Reason = "throttled"
 	// NoUpstream is a request for a service without a live upstream.
--- a/serving/relay/request.go
+++ b/serving/relay/request.go
@@ -17,6 +17,8 @@
 	Credential string
 	// Patience is how long the caller waits; 0 if it did not say.
 	Patience time.Duration
+	// HeadBytes and BodyBytes are the sizes of its head and its body.
+	HeadBytes, BodyBytes int
 	// Prompt describes the prompt; nil for a plain call.
 	Prompt *Prompt
 	// After is the number of the last event that the caller has of the stream; 0
