entry: a slot is reserved for each answer of the store and the cloud

Cause: by reading; an answer that found its duty's ring full was dropped, and the duty then waited for it for good (a lease, a heartbeat, a feed). Now the slot is set aside before the call, as on the path of requests, and without one the call is made later.

--- a/daemon/entry/clusterer.go
+++ b/daemon/entry/clusterer.go
@@ -205,6 +205,24 @@
 	}
 }
 
+// reserve sets slots aside for the answers of a call and of the one that follows
+// it. Without room the call is not made.
+func (c *clusterer) reserve() bool {
+	if err := c.inbox.Reserve(); err != nil {
+		c.log.Warn().Str("cause", err.Error()).Msg("call_not_made")
+		return false
+	}
+	return true
+}
+
+// answer offers what a slot was reserved for, which fails only at the end of the
+// process.
+func answer[T any](inbox *ring.Ring[T], m T, log zerolog.Logger) {
+	if err := inbox.OfferReserved(m); err != nil {
+		log.Debug().Str("cause", err.Error()).Msg("answer_after_end")
+	}
+}
+
 // offerOr offers a message, and logs one that finds no room.
 func offerOr[T any](inbox *ring.Ring[T], m T, log zerolog.Logger) {
 	if err := inbox.Offer(m); err != nil {
--- a/daemon/entry/clusterer_cards.go
+++ b/daemon/entry/clusterer_cards.go
@@ -27,9 +27,13 @@
 		c.beating = false
 		return
 	}
+	if !c.reserve() {
+		c.beating = false
+		return
+	}
 	put := rows.Put{Table: cardTable, Key: row.Key{Sort: c.card.Instance}, Value: value}
 	c.store.Write([]rows.Put{put}, func(_ uint64, err error) {
-		offerOr(c.inbox, clusterMessage(cardWritten{err: err}), c.log)
+		answer(c.inbox, clusterMessage(cardWritten{err: err}), c.log)
 	})
 }
 
@@ -57,8 +61,12 @@
 }
 
 func (c *clusterer) readCards() {
+	if !c.reserve() {
+		c.beating = false
+		return
+	}
 	c.store.List(cardTable, "", func(p rows.Page, err error) {
-		offerOr(c.inbox, clusterMessage(cardsRead{page: p, err: err}), c.log)
+		answer(c.inbox, clusterMessage(cardsRead{page: p, err: err}), c.log)
 	})
 }
 
--- a/daemon/entry/clusterer_duty.go
+++ b/daemon/entry/clusterer_duty.go
@@ -19,12 +19,20 @@
 	c.leaseAt = 0
 	switch s := s.(type) {
 	case lease.Read:
+		if !c.reserve() {
+			c.step(c.lease.ReadResult(row.Row{}, &row.UnavailableError{Err: &BusyError{}}, c.clock.Now()))
+			return
+		}
 		c.leases.Read(s.Key, func(found row.Row, err error) {
-			offerOr(c.inbox, clusterMessage(leaseRead{found: found, err: err}), c.log)
+			answer(c.inbox, clusterMessage(leaseRead{found: found, err: err}), c.log)
 		})
 	case lease.Write:
+		if !c.reserve() {
+			c.step(c.lease.Written(&row.UnavailableError{Err: &BusyError{}}, c.clock.Now()))
+			return
+		}
 		c.leases.Write(s.Transaction.Changes[0], func(err error) {
-			offerOr(c.inbox, clusterMessage(leaseWritten{err: err}), c.log)
+			answer(c.inbox, clusterMessage(leaseWritten{err: err}), c.log)
 		})
 	case lease.Wait:
 		c.leaseAt = s.Until
@@ -75,10 +83,14 @@
 		c.reporter.Done(window)
 		return
 	}
+	if !c.reserve() {
+		c.retryReport(now)
+		return
+	}
 	c.reporting = true
 	put := rows.Put{Table: usageTable, Key: usageKey(window), Value: counts, Conditional: true}
 	c.store.Write([]rows.Put{put}, func(_ uint64, err error) {
-		offerOr(c.inbox, clusterMessage(decided{window: window, err: err}), c.log)
+		answer(c.inbox, clusterMessage(decided{window: window, err: err}), c.log)
 	})
 }
 
@@ -94,8 +106,12 @@
 		c.retryReport(c.clock.Now())
 		return
 	}
+	if !c.reserve() {
+		c.retryReport(c.clock.Now())
+		return
+	}
 	c.store.First(usageTable, "", usageKey(m.window).Sort, func(p rows.Page, err error) {
-		offerOr(c.inbox, clusterMessage(decidedRead{window: m.window, page: p, err: err}), c.log)
+		answer(c.inbox, clusterMessage(decidedRead{window: m.window, page: p, err: err}), c.log)
 	})
 }
 
@@ -117,9 +133,13 @@
 		c.reporting = false
 		return
 	}
+	if !c.reserve() {
+		c.retryReport(now)
+		return
+	}
 	actor := cloud.Actor{Name: c.card.Instance, Fence: fence}
 	c.cloud.ReportUsage(actor, m.window, counts, func(err error) {
-		offerOr(c.inbox, clusterMessage(reported{window: m.window, fence: fence, err: err}), c.log)
+		answer(c.inbox, clusterMessage(reported{window: m.window, fence: fence, err: err}), c.log)
 	})
 }
 
--- a/daemon/entry/clusterer_orders.go
+++ b/daemon/entry/clusterer_orders.go
@@ -30,11 +30,15 @@
 	if err != nil || fence == c.barred {
 		return
 	}
+	if !c.reserve() {
+		c.planner.Refused(o, now)
+		return
+	}
 	c.log.Info().Str("service", o.Service).Str("failure_domain", o.FailureDomain).Bool("reclaimable", o.Reclaimable).
 		Int("count", o.Count).Int("have", o.Have).Int("need", o.Need).Uint64("fence", fence).Msg("upstreams_ordered")
 	actor := cloud.Actor{Name: c.card.Instance, Fence: fence}
 	c.cloud.Order(actor, o.Service, o.FailureDomain, o.Count, o.Reclaimable, func(err error) {
-		offerOr(c.inbox, clusterMessage(ordered{order: o, fence: fence, err: err}), c.log)
+		answer(c.inbox, clusterMessage(ordered{order: o, fence: fence, err: err}), c.log)
 	})
 }
 
--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -115,10 +115,14 @@
 	if t.calling || now.Before(t.retryAt) {
 		return
 	}
+	if err := w.inbox.Reserve(); err != nil {
+		t.retryAt = now.Add(watchRetry)
+		return
+	}
 	t.calling = true
 	isList := t.wantList
 	done := func(p rows.Page, err error) {
-		offerOr(w.inbox, watchMessage{table: t.table, isList: isList, page: p, err: err}, w.log)
+		answer(w.inbox, watchMessage{table: t.table, isList: isList, page: p, err: err}, w.log)
 	}
 	if isList {
 		w.store.List(t.table, "", done)
