--- a/daemon/entry/clusterer.go
+++ b/daemon/entry/clusterer.go
@@ -205,8 +205,8 @@
 	}
 }
 
-// reserve sets slots aside for the answers of a call and of the one that follows
-// it. Without room the call is not made.
+// reserve sets a slot aside for the answer of a call. Without room the call is
+// not made.
 func (c *clusterer) reserve() bool {
 	if err := c.inbox.Reserve(); err != nil {
 		c.log.Warn().Str("cause", err.Error()).Msg("call_not_made")
