--- a/edge/httpc/dialer.go
+++ b/edge/httpc/dialer.go
@@ -4,6 +4,8 @@
 	"net"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
 	"github.com/sycamorecourse/sycamorecourse/coord/thread"
 )
@@ -44,12 +46,22 @@
 	}
 }
 
+// cause gives a timeout of the network our type: the duty keeps the same limit,
+// and either may find first that it has passed.
+func (d *dialer) cause(err error) error {
+	var failed net.Error
+	if errors.As(err, &failed) && failed.Timeout() {
+		return &TimeoutError{Limit: d.client.config.ConnectTimeout}
+	}
+	return err
+}
+
 func (d *dialer) dial(next *dialing) {
 	made := &dialed{dialing: next, dialer: d}
 	if left := time.Until(next.until); left <= 0 {
 		made.err = &TimeoutError{Limit: d.client.config.ConnectTimeout}
 	} else if conn, err := net.DialTimeout("tcp", next.call.Address, left); err != nil {
-		made.err = err
+		made.err = d.cause(err)
 	} else {
 		made.conn, made.err = d.client.setUp(conn, next.call.Address)
 	}
--- a/proof/entry/site_test.go
+++ b/proof/entry/site_test.go
@@ -123,8 +123,14 @@
 	return line
 }
 
+// lastHost numbers the loopback addresses given out by free.
+var lastHost int
+
+// free returns an address that nothing else listens on: each has a loopback
+// address of its own, so that no other connection takes its port meanwhile.
 func free() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	lastHost++
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:0", 9+lastHost/250, 1+lastHost%250))
 	Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = ln.Close() }()
 	return ln.Addr().String()
