--- a/edge/settings/set.go
+++ b/edge/settings/set.go
@@ -20,6 +20,7 @@
 type Set struct {
 	flags   *flag.FlagSet
 	entries []*entry
+	orders  []order
 }
 
 // New declares settings on a set of flags.
@@ -103,6 +104,12 @@
 	})
 }
 
+// NotBelow demands of two declared time spans that the one of highFlag is at
+// least that of lowFlag.
+func (s *Set) NotBelow(high *time.Duration, highFlag string, low *time.Duration, lowFlag string) {
+	s.orders = append(s.orders, order{low: low, lowFlag: lowFlag, high: high, highFlag: highFlag})
+}
+
 // File declares the path of a file that must exist. An empty text is allowed
 // unless the file is required.
 func (s *Set) File(p *string, name, value, usage string, required bool) {
@@ -130,6 +137,11 @@
 			faults = append(faults, Fault{Flag: e.flag, Value: e.text, Allowed: e.allowed})
 		}
 	}
+	for _, o := range s.orders {
+		if *o.high < *o.low {
+			faults = append(faults, Fault{Flag: o.highFlag, Value: o.high.String(), Allowed: "not below --" + o.lowFlag + "=" + o.low.String()})
+		}
+	}
 	if len(faults) > 0 {
 		return &InvalidError{Faults: faults}
 	}
--- a/edge/settings/set_test.go
+++ b/edge/settings/set_test.go
@@ -24,6 +24,7 @@
 		address string
 		limit   int
 		wait    time.Duration
+		keep    time.Duration
 	)
 
 	BeforeEach(func() {
@@ -46,6 +47,13 @@
 		Expect(address).To(Equal("127.0.0.1:0"))
 	})
 
+	It("refuses a span that is below another one it must reach", func() {
+		set.Duration(&keep, "keep", time.Second, "how long to keep", 0, time.Minute)
+		set.NotBelow(&wait, "wait", &keep, "keep")
+		Expect(flags.Parse([]string{"-wait", "3s", "-keep", "4s"})).To(Succeed())
+		Expect(set.Load()).To(MatchError(ContainSubstring("--wait=3s: not below --keep=4s")))
+	})
+
 	It("names all faults at once", func() {
 		Expect(flags.Parse([]string{"-limit", "x", "-wait", "5h", "-listen-address", "here"})).To(Succeed())
 		err := set.Load()
--- a/proof/bed/bed.go
+++ b/proof/bed/bed.go
@@ -140,6 +140,12 @@
 	return first
 }
 
+// StopGateway ends one gateway gracefully and waits for its end.
+func (b *Bed) StopGateway(i int) error {
+	b.Gateways[i].Stop()
+	return b.threads[2+len(b.Engines)+i].Join()
+}
+
 func (b *Bed) join(threads []*thread.Thread) error {
 	var first error
 	for _, t := range threads {
@@ -184,6 +190,7 @@
 		ProbeInterval: time.Second,
 		AddressKeep:   time.Second,
 		DrainTimeout:  time.Minute,
+		LeaveDelay:    b.config.LeaveDelay,
 		Policy:        b.config.Policy,
 	}
 	if !b.config.WithoutTable {
--- a/proof/bed/config.go
+++ b/proof/bed/config.go
@@ -22,6 +22,9 @@
 	Retention time.Duration
 	// Policy names how upstreams are chosen.
 	Policy string
+	// LeaveDelay is how long a stopping gateway goes on answering. Callers of a
+	// Bed keep addresses for a second.
+	LeaveDelay time.Duration
 	// WithoutTable leaves the gateways without a table service.
 	WithoutTable bool
 }
--- a/proof/concurrent/history_test.go
+++ b/proof/concurrent/history_test.go
@@ -115,7 +115,11 @@
 	})
 
 	It("cuts and refuses nothing while gateways stop one after another", func() {
-		b := open(bed.Config{Engines: 3, Gateways: 4, MaxRequests: 4096, Retention: time.Minute, Engine: engine.Config{TokenTime: time.Millisecond}})
+		b := open(bed.Config{
+			Engines: 3, Gateways: 4, MaxRequests: 4096, Retention: time.Minute,
+			// Longer than callers keep an address, as the settings demand.
+			LeaveDelay: 1500 * time.Millisecond, Engine: engine.Config{TokenTime: time.Millisecond},
+		})
 		config := load(300, b.Seeds())
 		config.SharedEvery = 0
 		config.HastyEvery = 0
@@ -123,12 +127,12 @@
 		config.Requests = 0
 		group := callers.Start(config)
 		pause := ring.New[bool]("pause", 1)
-		for i, g := range b.Gateways[:3] {
+		for i := range b.Gateways[:3] {
 			_, _, _ = pause.TakeUntil(300 * time.Millisecond)
 			for _, other := range b.Gateways[i:] {
 				Expect(other.Apply(gateway.Update{Gateways: b.Addresses()[i+1:]})).To(Succeed())
 			}
-			g.Stop()
+			Expect(b.StopGateway(i)).To(Succeed())
 		}
 		_, _, _ = pause.TakeUntil(300 * time.Millisecond)
 		records, err := group.Stop()
--- a/proof/measure/site.go
+++ b/proof/measure/site.go
@@ -60,7 +60,7 @@
 		return nil, err
 	}
 	s.Controller = controller
-	gateway, serves, err := s.daemon("gateway", fields, controls["link"], "-leave-delay", "0s", "-address-keep", "1s", "-retention", "2s", "-max-requests", "8192")
+	gateway, serves, err := s.daemon("gateway", fields, controls["link"], "-leave-delay", "1s", "-address-keep", "1s", "-retention", "2s", "-max-requests", "8192")
 	if err != nil {
 		return nil, err
 	}
