httpd: bytes that are no HTTP are answered with 400 and logged

Change: the server parses by itself, answers 400 (413 if too much came), drops what follows until the caller closes, and tells its Malformed hook; the entry role and the gateway log caller_malformed. An answer that is under way is cut, as before, since a refusal in its middle could be taken for its end. Test: edge/httpd, four kinds of bytes, failed before (connection closed, EOF).

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -131,6 +131,7 @@
 		Pollers:      1,
 		MaxBodyBytes: maxBodyBytes,
 		IdleTimeout:  callerIdle,
+		Malformed:    in.malformed,
 	}, in)
 	if s.AdminAddress != "" {
 		e.admin = httpd.New(httpd.Config{Address: s.AdminAddress, Pollers: 1}, e.report)
--- a/daemon/entry/intake.go
+++ b/daemon/entry/intake.go
@@ -38,6 +38,11 @@
 	}
 }
 
+// malformed notes bytes that are no request. The server has refused them.
+func (i *intake) malformed(e *httpd.MalformedError) {
+	i.log.Info().Str("caller", e.Remote).Str("cause", e.Err.Error()).Int("status", e.Status()).Msg("caller_malformed")
+}
+
 // Gone implements httpd.Handler. When dispatch has no room for the news, the
 // request runs to its end.
 func (i *intake) Gone(x *httpd.Exchange) {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -71,7 +71,7 @@
 	deliveries := ring.New[deliveryMessage]("delivery", s.MaxRequests*(pieceSlots+slotsPerCaller))
 	g.upstream = httpc.New(httpc.Config{Name: "upstream", Capacity: 2 * s.MaxRequests})
 	g.record = httpc.New(httpc.Config{Name: "record", Capacity: 2 * s.MaxRequests})
-	g.intake = &intake{limits: caller.Limits{}.WithDefaults(), admission: admissions, delivery: deliveries}
+	g.intake = &intake{limits: caller.Limits{}.WithDefaults(), admission: admissions, delivery: deliveries, log: log}
 	g.admission = &admission{inbox: admissions, dispatch: dispatches, delivery: deliveries, keep: s.AddressKeep}
 	g.dispatch = newDispatcher(s, log, registry, dispatches, deliveries)
 	g.dispatch.upstream = g.upstream
@@ -93,7 +93,7 @@
 		clock:    clock.System{},
 		log:      log,
 	}
-	g.api = httpd.New(httpd.Config{Address: s.ListenAddress}, g.intake)
+	g.api = httpd.New(httpd.Config{Address: s.ListenAddress, Malformed: g.intake.malformed}, g.intake)
 	g.admin = httpd.New(httpd.Config{Address: s.AdminAddress, Pollers: 1}, g.report)
 	g.describe()
 	return g
--- a/daemon/gateway/intake.go
+++ b/daemon/gateway/intake.go
@@ -9,6 +9,7 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/request"
 
 	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
 )
 
 // fullRetry is when a caller may try again after a ring was full.
@@ -20,6 +21,7 @@
 	limits    caller.Limits
 	admission *ring.Ring[admissionMessage]
 	delivery  *ring.Ring[deliveryMessage]
+	log       zerolog.Logger
 }
 
 // Serve implements httpd.Handler.
@@ -37,6 +39,11 @@
 	}
 }
 
+// malformed notes bytes that are no request. The server has refused them.
+func (i *intake) malformed(e *httpd.MalformedError) {
+	i.log.Info().Str("caller", e.Remote).Str("cause", e.Err.Error()).Int("status", e.Status()).Msg("caller_malformed")
+}
+
 // Gone implements httpd.Handler. When delivery has no room for the news, it
 // learns of the caller's end at its next write.
 func (i *intake) Gone(x *httpd.Exchange) {
--- a/edge/httpd/config.go
+++ b/edge/httpd/config.go
@@ -23,6 +23,9 @@
 	// IdleTimeout ends a connection that sends no whole request for this long.
 	// Default 60 s.
 	IdleTimeout time.Duration
+	// Malformed is told of bytes that are no HTTP, on a thread of the network
+	// library: it must not block. Nil tells nobody.
+	Malformed func(*MalformedError)
 }
 
 func (c Config) withDefaults() Config {
--- a/edge/httpd/server.go
+++ b/edge/httpd/server.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
@@ -93,10 +94,46 @@
 	s.engine.OnOpen(func(net.Conn) { s.accepted.Add(1) })
 	s.engine.Engine.OnData(func(c *nbio.Conn, data []byte) {
 		_ = s.accepted.Load()
-		c.DataHandler()(c, data)
+		s.read(c, data)
 	})
 }
 
+// read parses what came on a connection. Where the library would close a
+// connection whose bytes are no HTTP, the caller is told first.
+func (s *Server) read(c *nbio.Conn, data []byte) {
+	session, ok := c.Session().(nbhttp.ParserCloser)
+	if !ok {
+		// It is no caller's: see pollers.Await.
+		c.DataHandler()(c, data)
+		return
+	}
+	err := session.Parse(data)
+	if err == nil {
+		return
+	}
+	parser, ok := session.(*nbhttp.Parser)
+	if !ok || errors.Is(err, net.ErrClosed) {
+		_ = c.CloseWithError(err)
+		return
+	}
+	malformed := &MalformedError{Remote: c.RemoteAddr().String(), Err: err}
+	if s.config.Malformed != nil {
+		s.config.Malformed(malformed)
+	}
+	if state, ok := parser.Processor.(*connection); ok && state.open.Load() != nil {
+		// The bytes of an answer that is under way can't be told from a refusal.
+		_ = c.CloseWithError(malformed)
+		return
+	}
+	if _, err := c.Write(malformed.answer()); err != nil {
+		_ = c.CloseWithError(malformed)
+		return
+	}
+	// Were it closed here, with bytes unread, the answer might be lost on its way.
+	c.SetSession(&discarding{ParserCloser: session})
+	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+}
+
 // Address returns the first IP and port listened on, known after Open.
 func (s *Server) Address() string {
 	return s.address
--- a/edge/httpd/server_test.go
+++ b/edge/httpd/server_test.go
@@ -1,8 +1,10 @@
 package httpd_test
 
 import (
+	"bufio"
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -39,11 +41,18 @@
 }
 
 var _ = Describe("Server", func() {
-	var server *httpd.Server
+	var (
+		server    *httpd.Server
+		malformed *ring.Ring[*httpd.MalformedError]
+	)
 
 	BeforeEach(func() {
 		handler := &echo{inbox: ring.New[*httpd.Exchange]("echo", 256)}
-		server = httpd.New(httpd.Config{Address: "127.0.0.1:0"}, handler)
+		malformed = ring.New[*httpd.MalformedError]("malformed", 16)
+		server = httpd.New(httpd.Config{
+			Address:   "127.0.0.1:0",
+			Malformed: func(e *httpd.MalformedError) { _ = malformed.Offer(e) },
+		}, handler)
 		Expect(server.Open()).To(Succeed())
 		t := thread.Start("echo", handler.run)
 		DeferCleanup(func() {
@@ -74,6 +83,37 @@
 		return nil
 	}
 
+	DescribeTable("refuses bytes that are no request, says so, and goes on with others", func(sent string) {
+		conn, err := net.Dial("tcp", server.Address())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		_, err = conn.Write([]byte(sent))
+		Expect(err).NotTo(HaveOccurred())
+		reader := bufio.NewReader(conn)
+		response, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusBadRequest))
+		Expect(response.Close).To(BeTrue())
+		told, ok, err := malformed.TakeUntil(5 * time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ok).To(BeTrue())
+		Expect(told.Remote).To(Equal(conn.LocalAddr().String()))
+		// What follows is neither parsed nor answered.
+		_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+		rest, err := io.ReadAll(reader)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rest).To(BeEmpty())
+		Expect(conn.Close()).To(Succeed())
+		Expect(call(http.DefaultClient, 1, []byte("still here"))).To(Succeed())
+	},
+		Entry("no words at all", "\x00\x01\x02\x03\r\n\r\n"),
+		Entry("an unknown version", "GET / HTTP/9\r\nHost: x\r\n\r\n"),
+		Entry("a broken length", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: ten\r\n\r\n"),
+		Entry("a broken chunk", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"),
+	)
+
 	DescribeTable("answers every request of many connections", func(keepAlive bool, callers, requests, size int) {
 		var threads []*thread.Thread
 		for range callers {
