Homes of prompts on both kinds of upstreams; orders by the square root of the work

And need stayed high for long after an overload: two upstreams each half second, of 190. Order lines name open requests and reading.

--- a/serving/relay/core_place.go
+++ b/serving/relay/core_place.go
@@ -72,8 +72,9 @@
 }
 
 // home is the upstream that all gateways would choose for the shared parts of a
-// prompt if none were loaded: an on-demand one, if there is any, since what it
-// holds stays.
+// prompt if none were loaded. On-demand and reclaimable ones count alike: were it
+// always an on-demand one, those would have all of the reading while nobody
+// holds anything.
 func (c *Core) home(s *state, keys []uint64, now clock.Instant) *member {
 	key := hashOf(s.request.ID)
 	switch {
@@ -84,11 +85,7 @@
 	}
 	var best *member
 	for _, m := range s.pool.order {
-		if !c.mayGet(s, m, now) || (best != nil && m.upstream.Reclaimable && !best.upstream.Reclaimable) {
-			continue
-		}
-		isSafer := best != nil && best.upstream.Reclaimable && !m.upstream.Reclaimable
-		if best == nil || isSafer || m.rank(key) > best.rank(key) {
+		if c.mayGet(s, m, now) && (best == nil || m.rank(key) > best.rank(key)) {
 			best = m
 		}
 	}
--- a/serving/scale/order.go
+++ b/serving/scale/order.go
@@ -14,4 +14,6 @@
 	Have int
 	// Need is the number that the load needed, over all failure domains.
 	Need int
+	// Load is what the need was taken from.
+	Load Load
 }
--- a/serving/scale/planner.go
+++ b/serving/scale/planner.go
@@ -10,11 +10,12 @@
 )
 
 const (
-	// openShare is the share of its slots that an upstream is planned to use.
-	openShare = 0.3
-	// readShare is the share of its time that an upstream is planned to read
-	// prompts.
-	readShare = 0.45
+	// workShare is the share of its slots, or of its time to read prompts, that an
+	// upstream is planned to use where there are many.
+	workShare = 0.62
+	// spread is the number of upstreams added for the square root of the work:
+	// with few of them chance loads some much more than others.
+	spread = 1.2
 	// readTokensPerSecond is the number of prompt tokens that an upstream reads.
 	readTokensPerSecond = 50_000
 	// onDemandShare is the number of on-demand upstreams for each that the load
@@ -40,8 +41,9 @@
 	lullTime = 3 * time.Second
 	// stepTime is the time between two steps down.
 	stepTime = 500 * time.Millisecond
-	// stepDown is the size of a step.
-	stepDown = 2
+	// stepDown is the size of a step, and stepShare its share of a large need.
+	stepDown  = 2
+	stepShare = 0.06
 	// orderSlack is how long after their boot ordered upstreams may be missing
 	// before they are ordered again.
 	orderSlack = 3 * time.Second
@@ -81,9 +83,9 @@
 		// of the other, or will be.
 		spare := min(part(spareShare*float64(need), 0, len(domains)), s.Scale.Max-max(keep, have[plain]))
 		if p.isSettled(s.Name, now) {
-			due = p.consider(due, plain, keep, have[plain], need, s, now)
+			due = p.consider(due, plain, keep, have[plain], need, load, s, now)
 		}
-		due = p.consider(due, reclaimable, max(spare, 0), have[reclaimable], need, s, now)
+		due = p.consider(due, reclaimable, max(spare, 0), have[reclaimable], need, load, s, now)
 	}
 	return due
 }
@@ -113,20 +115,24 @@
 		t.inherit(sum(have, false), now)
 	}
 	t.isLoaded = true
-	open := load.Open / (openShare * float64(max(s.Engine.Slots, 1)))
-	read := load.Reading / (readShare * readTokensPerSecond)
-	need := int(math.Ceil(max(open, read, 1)))
+	need := carry(max(load.Open/float64(max(s.Engine.Slots, 1)), load.Reading/readTokensPerSecond))
 	// An overload looks like more than it is: requests are read again.
 	need = min(need, max(t.need, there+growth))
 	switch {
 	case need >= t.need:
 		t.need, t.at = need, now
 	case now.Sub(t.at) >= lullTime:
-		t.need, t.at = max(need, t.need-stepDown), now.Add(stepTime-lullTime)
+		t.need, t.at = max(need, t.need-max(stepDown, int(stepShare*float64(t.need)))), now.Add(stepTime-lullTime)
 	}
 	return t.need
 }
 
+// carry is the number of upstreams for the work that would keep so many busy all
+// the time.
+func carry(work float64) int {
+	return int(math.Ceil(max(work/workShare+spread*math.Sqrt(work), 1)))
+}
+
 // sum counts the upstreams of one kind.
 func sum(have map[subject]int, reclaimable bool) int {
 	n := 0
@@ -139,7 +145,7 @@
 }
 
 // consider adds an order if one is due.
-func (p *Planner) consider(due []Order, s subject, wanted, have, need int, service *catalog.Service, now clock.Instant) []Order {
+func (p *Planner) consider(due []Order, s subject, wanted, have, need int, load Load, service *catalog.Service, now clock.Instant) []Order {
 	last, ordered := p.orders[s]
 	if now.Before(last.refusedUntil) {
 		return due
@@ -155,7 +161,7 @@
 	p.orders[s] = standing{count: wanted, at: now}
 	return append(due, Order{
 		Service: s.service, FailureDomain: s.failureDomain, Reclaimable: s.reclaimable,
-		Count: wanted, Have: have, Need: need,
+		Count: wanted, Have: have, Need: need, Load: load,
 	})
 }
 
