watch: changes of upstreams are gathered for 350 ms

The bound for an upstream that leaves is 2 s at the least; the longest way is 0.35 + 0.4 s beside the feed.

--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -25,7 +25,7 @@
 	feedShare = 0.55
 	// gatherTime is the pause after a change, so that those that come together
 	// cost one call.
-	gatherTime = 100 * time.Millisecond
+	gatherTime = 350 * time.Millisecond
 	// watchRetry is the wait after a failed call.
 	watchRetry = 150 * time.Millisecond
 	// lapseGrace is the time after the store's return in which the entries of live
