A soak: the entry gateways as processes, with faults from outside them

Four gateways as real processes before stand-ins, relays on their links to the store, to callers and to upstreams (delay, reset, silence one way or both), signals, a store that is down, slow, forgets or loses answers, upstreams that misbehave, leave and are replaced, configurations in quick succession; each fault with an end, overlapping. Callers keep the directory's answer and their connections. Checked: at most once, true refusals, whole answers and events in order, requests unchanged, no older configuration, one report a window and one holder a number, no process that ends by itself, service after the last fault. The relay of proof/scenarios is shared and learnt one way, delay and reset.

--- a/proof/scenarios/relay/message.go
+++ b/proof/scenarios/relay/message.go
@@ -5,6 +5,6 @@
 // message is what the duty of a relay is told.
 type message struct {
 	accepted *net.TCPConn
-	isCut    bool
-	isHealed bool
+	state    *State
+	isReset  bool
 }
--- a/proof/scenarios/relay/pipe.go
+++ b/proof/scenarios/relay/pipe.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,7 +24,9 @@
 	from     *net.TCPConn
 	to       *net.TCPConn
 	released *ring.Ring[bool]
-	thread   *thread.Thread
+	// delay is how long what was read waits, in nanoseconds.
+	delay  atomic.Int64
+	thread *thread.Thread
 }
 
 func newPipe(from, to *net.TCPConn) *pipe {
@@ -46,6 +49,13 @@
 	_ = p.released.Offer(true)
 }
 
+// reset ends the connection as a lost peer does.
+func (p *pipe) reset() {
+	// A connection that has ended needs no reset.
+	_ = p.from.SetLinger(0)
+	p.close()
+}
+
 func (p *pipe) close() {
 	p.released.Close()
 	_ = p.from.Close()
@@ -56,9 +66,13 @@
 func (p *pipe) run() error {
 	defer p.shut()
 	buffer := make([]byte, pipeBytes)
+	late := ring.New[bool]("late", 1)
 	for {
 		n, err := p.from.Read(buffer)
 		if n > 0 {
+			if delay := time.Duration(p.delay.Load()); delay > 0 {
+				_, _, _ = late.TakeUntil(delay)
+			}
 			if _, err := p.to.Write(buffer[:n]); err != nil {
 				return nil
 			}
--- a/proof/scenarios/relay/relay.go
+++ b/proof/scenarios/relay/relay.go
@@ -23,8 +23,9 @@
 	inbox   *ring.Ring[message]
 	isCut   atomic.Bool
 	threads []*thread.Thread
-	// pipes belong to the duty.
+	// pipes and state belong to the duty.
 	pipes []*pipe
+	state State
 }
 
 // Start starts a relay on a free port.
@@ -54,14 +55,24 @@
 
 // Cut holds all traffic up.
 func (r *Relay) Cut() error {
-	r.isCut.Store(true)
-	return r.inbox.Offer(message{isCut: true})
+	return r.Set(State{HoldsForth: true, HoldsBack: true})
 }
 
 // Heal passes traffic on again, with what was held up on connections.
 func (r *Relay) Heal() error {
-	r.isCut.Store(false)
-	return r.inbox.Offer(message{isHealed: true})
+	return r.Set(State{})
+}
+
+// Set makes the relay treat all connections, those to come as well, in one way.
+// Datagrams are dropped while both directions are held.
+func (r *Relay) Set(state State) error {
+	r.isCut.Store(state.HoldsForth && state.HoldsBack)
+	return r.inbox.Offer(message{state: &state})
+}
+
+// Reset ends all present connections abruptly.
+func (r *Relay) Reset() error {
+	return r.inbox.Offer(message{isReset: true})
 }
 
 // Close ends the relay and its connections.
@@ -87,10 +98,11 @@
 		switch {
 		case m.accepted != nil:
 			r.connect(m.accepted)
-		case m.isCut:
-			r.hold()
-		case m.isHealed:
-			r.release()
+		case m.state != nil:
+			r.state = *m.state
+			r.apply(r.pipes)
+		case m.isReset:
+			r.reset()
 		}
 	}
 }
@@ -118,23 +130,26 @@
 	forth := newPipe(from, to.(*net.TCPConn))
 	back := newPipe(to.(*net.TCPConn), from)
 	r.pipes = append(r.pipes, forth, back)
-	if r.isCut.Load() {
-		forth.hold()
-		back.hold()
-	}
+	r.apply([]*pipe{forth, back})
 	forth.start()
 	back.start()
 }
 
-func (r *Relay) hold() {
-	for _, p := range r.pipes {
-		p.hold()
+// apply brings pairs of pipes, forth and back, into the present state.
+func (r *Relay) apply(pipes []*pipe) {
+	for i, p := range pipes {
+		p.delay.Store(int64(r.state.Delay))
+		if (i%2 == 0 && r.state.HoldsForth) || (i%2 == 1 && r.state.HoldsBack) {
+			p.hold()
+		} else {
+			p.release()
+		}
 	}
 }
 
-func (r *Relay) release() {
+func (r *Relay) reset() {
 	for _, p := range r.pipes {
-		p.release()
+		p.reset()
 	}
 }
 
--- /dev/null
+++ b/proof/soak/judge/doc.go
@@ -0,0 +1,2 @@
+// Package judge checks what callers were told against what upstreams have run.
+package judge
--- /dev/null
+++ b/proof/soak/judge/rule.go
@@ -0,0 +1,27 @@
+package judge
+
+// Rule names a promise.
+type Rule string
+
+// The promises.
+const (
+	// AtMostOnce: what may not be repeated runs once at most.
+	AtMostOnce Rule = "at most once"
+	// TrueRefusal: what is refused as not run has not run.
+	TrueRefusal Rule = "a refusal is true"
+	// Whole: an answer that ends as whole is the upstream's, with its receipt.
+	Whole Rule = "answers are whole"
+	// InOrder: events come once each, in order.
+	InOrder Rule = "events are in order"
+	// Unchanged: upstreams see what callers sent, for the customer whose credential
+	// it is, and no credential.
+	Unchanged Rule = "requests are unchanged"
+	// NeverOlder: a process does not go back to an older configuration.
+	NeverOlder Rule = "no older configuration"
+	// OneReport: a usage window has one count, and a fencing number one holder.
+	OneReport Rule = "one report"
+	// StaysUp: no process ends by itself.
+	StaysUp Rule = "no process ends by itself"
+	// Recovers: after the last fault requests are served again.
+	Recovers Rule = "it recovers"
+)
--- /dev/null
+++ b/proof/soak/load/caller.go
@@ -0,0 +1,165 @@
+package load
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+)
+
+const (
+	// keep is how long a caller keeps the addresses.
+	keep = 2 * time.Second
+	// patience bounds a request, and deadline is what the system is told of it.
+	patience = 5 * time.Second
+	deadline = "4000"
+	// longestPause bounds the time between two requests.
+	longestPause = 40 * time.Millisecond
+)
+
+// caller is one caller; its duty owns it.
+type caller struct {
+	config    Config
+	number    int
+	random    *rand.Rand
+	client    *http.Client
+	asker     *http.Client
+	addresses []string
+	until     time.Time
+	stop      *ring.Ring[bool]
+	records   []Record
+	// connections numbers those of this caller. The map keeps them from being
+	// mistaken for later ones.
+	connections map[net.Conn]string
+}
+
+func newCaller(config Config, number int) *caller {
+	return &caller{
+		config: config,
+		number: number,
+		random: rand.New(rand.NewPCG(config.Seed, uint64(number))),
+		client: &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}},
+		asker:  &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+		stop:   newStop(),
+
+		connections: make(map[net.Conn]string),
+	}
+}
+
+func (c *caller) run() error {
+	for n := 0; ; n++ {
+		if r, ok := c.request(n); ok {
+			c.records = append(c.records, r)
+		}
+		pause := time.Duration(c.random.Int64N(int64(longestPause)))
+		if _, _, err := c.stop.TakeUntil(pause); err != nil {
+			c.client.CloseIdleConnections()
+			return nil
+		}
+	}
+}
+
+// address is one that the directory gives, or gave last.
+func (c *caller) address() string {
+	if time.Now().After(c.until) {
+		for range 3 {
+			if c.ask(c.config.Directories[c.random.IntN(len(c.config.Directories))]) {
+				break
+			}
+		}
+	}
+	if len(c.addresses) == 0 {
+		return ""
+	}
+	return c.addresses[c.random.IntN(len(c.addresses))]
+}
+
+func (c *caller) ask(directory string) bool {
+	res, err := c.asker.Get("http://" + directory + "/-/resolve?name=" + c.config.Host + "&region=r&zone=z")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = res.Body.Close() }()
+	var list struct {
+		Addrs []string `json:"addrs"`
+	}
+	if res.StatusCode != http.StatusOK || json.NewDecoder(res.Body).Decode(&list) != nil || len(list.Addrs) == 0 {
+		return false
+	}
+	c.addresses = list.Addrs
+	c.until = time.Now().Add(keep)
+	return true
+}
+
+// request makes one request. It reports false if there is nobody to ask.
+func (c *caller) request(n int) (Record, bool) {
+	address := c.config.Ways[c.address()]
+	if address == "" {
+		return Record{}, false
+	}
+	r := Record{
+		ID:   fmt.Sprintf("%x-%x-%x", c.config.Seed, c.number, n),
+		Kind: kinds[c.random.IntN(len(kinds))],
+	}
+	method := http.MethodPost
+	switch r.Kind {
+	case Newest:
+		method = http.MethodGet
+		r.Version = c.config.Newest()
+		r.Path = fmt.Sprintf("/v%d/%s", r.Version, r.ID)
+	case Safe:
+		method = http.MethodGet
+		r.Path = "/safe/" + r.ID
+	default:
+		r.Path = "/" + string(r.Kind) + "/" + r.ID
+	}
+	r.Start = time.Now()
+	c.send(&r, method, address)
+	r.End = time.Now()
+	return r, true
+}
+
+// name tells a connection apart from all others of all callers.
+func (c *caller) name(conn net.Conn) string {
+	if c.connections[conn] == "" {
+		c.connections[conn] = fmt.Sprintf("%d-%d", c.number, len(c.connections)+1)
+	}
+	return c.connections[conn]
+}
+
+func (c *caller) send(r *Record, method, address string) {
+	var body io.Reader
+	if method == http.MethodPost {
+		body = bytes.NewReader([]byte(r.ID))
+	}
+	request, err := http.NewRequest(method, "http://"+address+r.Path, body)
+	if err != nil {
+		r.Err = err
+		return
+	}
+	request.Host = c.config.Host
+	request.Header.Set("Attempt-Id", r.ID)
+	request.Header.Set("Deadline-Ms", deadline)
+	request.Header.Set("Credential", c.config.Credential)
+	request.Header.Set("Tenant", "somebody")
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { r.Connection = c.name(info.Conn) }}
+	res, err := c.client.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		r.Err = err
+		return
+	}
+	defer func() { _ = res.Body.Close() }()
+	r.Status = res.StatusCode
+	r.Seal = res.Header.Get("Response-Seal")
+	var text strings.Builder
+	_, r.Err = io.Copy(&text, res.Body)
+	r.Body = text.String()
+}
--- /dev/null
+++ b/proof/soak/load/config.go
@@ -0,0 +1,17 @@
+package load
+
+// Config sets up a Group.
+type Config struct {
+	// Count is the number of callers.
+	Count int
+	// Seed fixes their choices.
+	Seed uint64
+	// Directories are the addresses that are asked which to use.
+	Directories []string
+	// Ways maps an address of the system to the one that callers connect to.
+	Ways map[string]string
+	// Host and Credential are those of all requests.
+	Host, Credential string
+	// Newest is the version of the newest configuration.
+	Newest func() int
+}
--- /dev/null
+++ b/proof/soak/world/upstream.go
@@ -0,0 +1,21 @@
+package world
+
+import (
+	"github.com/sycamorecourse/sycamorecourse/coord/thread"
+	"github.com/sycamorecourse/sycamorecourse/proof/scenarios/relay"
+	"github.com/sycamorecourse/sycamorecourse/standin/replica"
+)
+
+// Upstream is a stand-in of an upstream behind a relay.
+type Upstream struct {
+	// ID names its present start.
+	ID string
+	// Service is what it runs.
+	Service string
+	// Replica is the stand-in.
+	Replica *replica.Replica
+	// Relay stands before it.
+	Relay *relay.Relay
+
+	thread *thread.Thread
+}
--- /dev/null
+++ b/proof/soak/world/world.go
@@ -0,0 +1,242 @@
+package world
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/coord/thread"
+	"github.com/sycamorecourse/sycamorecourse/proof/scenarios/relay"
+	"github.com/sycamorecourse/sycamorecourse/standin/duties"
+	"github.com/sycamorecourse/sycamorecourse/standin/replica"
+	"github.com/sycamorecourse/sycamorecourse/standin/rowstore"
+)
+
+const (
+	// Host is what requests name.
+	Host = "h.example"
+	// Credential is the key of the customer Customer.
+	Credential = "soak-secret"
+	// Customer is the only customer.
+	Customer = "acme"
+	// Events is the number of events of a stream.
+	Events = 6
+	// eventPause is the time between two of them, or before another answer.
+	eventPause = 15 * time.Millisecond
+	// readyPatience bounds the wait for all gateways to get ready.
+	readyPatience = 20 * time.Second
+	// readyPause is the time between two questions.
+	readyPause = 50 * time.Millisecond
+)
+
+// World is a running system. One thread uses it.
+type World struct {
+	// Store is the platform's store.
+	Store *rowstore.Store
+	// Cloud takes the calls of singleton duties.
+	Cloud *duties.Duties
+	// Gateways are the processes.
+	Gateways []*Gateway
+	// Upstreams are those that there are now.
+	Upstreams []*Upstream
+
+	config  Config
+	former  []*Upstream
+	threads []*thread.Thread
+	version int
+	started int
+	strays  atomic.Int64
+}
+
+// Open starts everything and waits until all gateways are ready.
+func Open(config Config) (*World, error) {
+	w := &World{config: config, Store: rowstore.New("127.0.0.1:0"), Cloud: duties.New("127.0.0.1:0")}
+	if err := w.Store.Open(); err != nil {
+		return nil, err
+	}
+	w.threads = append(w.threads, thread.Start("store", w.Store.Run))
+	if err := w.Cloud.Open(); err != nil {
+		return nil, err
+	}
+	w.threads = append(w.threads, thread.Start("cloud", w.Cloud.Run))
+	for range config.Upstreams {
+		for _, service := range []string{"llm", "app"} {
+			if _, err := w.AddUpstream(service); err != nil {
+				return nil, err
+			}
+		}
+	}
+	if err := w.Configure(); err != nil {
+		return nil, err
+	}
+	for i := range config.Gateways {
+		if err := w.addGateway(i); err != nil {
+			return nil, err
+		}
+	}
+	return w, w.AwaitReady()
+}
+
+func (w *World) addGateway(number int) error {
+	g := newGateway(w.config, number, &w.strays)
+	w.Gateways = append(w.Gateways, g)
+	var err error
+	if g.Store, err = relay.Start(w.Store.Address()); err != nil {
+		return err
+	}
+	if g.Callers, err = relay.Start(g.CallerAddress()); err != nil {
+		return err
+	}
+	if err := g.writeSettings(w.Cloud.Address()); err != nil {
+		return err
+	}
+	return g.Start()
+}
+
+// AwaitReady waits until all gateways are ready.
+func (w *World) AwaitReady() error {
+	until := time.Now().Add(readyPatience)
+	for _, g := range w.Gateways {
+		for !g.IsReady() {
+			if time.Now().After(until) {
+				return &NotReadyError{Gateway: g.Name}
+			}
+			Pause(readyPause)
+		}
+	}
+	return nil
+}
+
+// Pause parks the calling thread.
+func Pause(d time.Duration) {
+	// Nothing is offered.
+	_, _, _ = ring.New[bool]("pause", 1).TakeUntil(d)
+}
+
+// AddUpstream starts an upstream and registers it.
+func (w *World) AddUpstream(service string) (*Upstream, error) {
+	w.started++
+	u := &Upstream{ID: fmt.Sprintf("%s-%d", service, w.started), Service: service}
+	config := replica.Config{ID: u.ID, Address: "127.0.0.1:0", Pause: eventPause}
+	if service == "llm" {
+		config.Events = Events
+	}
+	u.Replica = replica.New(config)
+	if err := u.Replica.Open(); err != nil {
+		return nil, err
+	}
+	u.thread = thread.Start("upstream", u.Replica.Run)
+	var err error
+	if u.Relay, err = relay.Start(u.Replica.Address()); err != nil {
+		return nil, err
+	}
+	w.Upstreams = append(w.Upstreams, u)
+	return u, w.Register(u, "ready")
+}
+
+// Register writes the entry of an upstream.
+func (w *World) Register(u *Upstream, state string) error {
+	value, err := json.Marshal(map[string]any{
+		"service": u.Service, "address": u.Relay.Address(), "zone": "z", "slots": 8, "state": state, "sequence": 1,
+	})
+	if err != nil {
+		return err
+	}
+	return Posted(w.Store, func() { w.Store.Put("servers", u.ID, value) })
+}
+
+// Remove removes the entry of an upstream, which serves on.
+func (w *World) Remove(u *Upstream) error {
+	for i, other := range w.Upstreams {
+		if other == u {
+			w.Upstreams = append(w.Upstreams[:i], w.Upstreams[i+1:]...)
+			w.former = append(w.former, u)
+			break
+		}
+	}
+	return Posted(w.Store, func() { w.Store.Delete("servers", u.ID) })
+}
+
+// Version is that of the newest configuration.
+func (w *World) Version() int { return w.version }
+
+// Configure writes the next configuration. It has the routes of all before it and
+// one more, /vN/.
+func (w *World) Configure() error {
+	w.version++
+	routes := []map[string]any{
+		route("/stream/", "streaming", "llm", 2, true),
+		route("/single/", "streaming", "llm", 1, false),
+		route("/safe/", "idempotent", "app", 2, false),
+		route("/once/", "non_idempotent", "app", 1, false),
+	}
+	for v := range w.version {
+		routes = append(routes, route(fmt.Sprintf("/v%d/", v+1), "idempotent", "app", 2, false))
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": w.version, "routes": routes,
+		"services": []map[string]any{{"name": "llm"}, {"name": "app"}},
+		"limits":   map[string]any{"max_header_bytes": 8000, "max_body_bytes": 100000, "idle_timeout_ms": 20000},
+		"tenants":  []map[string]any{{"name": Customer, "api_keys": []string{Credential}}},
+	})
+	if err != nil {
+		return err
+	}
+	return Posted(w.Store, func() { w.Store.Put("op", "config", value) })
+}
+
+func route(prefix, kind, service string, attempts int, resume bool) map[string]any {
+	return map[string]any{
+		"name": "r" + prefix, "hostname": Host, "prefix": prefix, "route_type": kind, "timeout_ms": 2000,
+		"target_latency_ms": 400, "service": service, "attempts": attempts, "stream_resume": resume, "gap_target_ms": 400,
+	}
+}
+
+// Runs returns what all upstreams have run, those that are gone included.
+func (w *World) Runs() ([]replica.Run, error) {
+	var all []replica.Run
+	for _, u := range append(append([]*Upstream{}, w.former...), w.Upstreams...) {
+		if err := Posted(u.Replica, func() { all = append(all, u.Replica.Runs()...) }); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+// Reports returns the usage reports that the platform took.
+func (w *World) Reports() ([]duties.Report, error) {
+	var all []duties.Report
+	err := Posted(w.Cloud, func() { all = w.Cloud.Reports() })
+	return all, err
+}
+
+// Strays is the number of processes that ended without being told to.
+func (w *World) Strays() int64 { return w.strays.Load() }
+
+// Close ends all that was started.
+func (w *World) Close() error {
+	var first error
+	note := func(err error) {
+		if err != nil && first == nil {
+			first = err
+		}
+	}
+	for _, g := range w.Gateways {
+		note(g.End())
+		note(g.Store.Close())
+		note(g.Callers.Close())
+	}
+	for _, u := range append(w.former, w.Upstreams...) {
+		note(u.Relay.Close())
+		u.Replica.Close()
+		note(u.thread.Join())
+	}
+	w.Cloud.Close()
+	w.Store.Close()
+	for _, t := range w.threads {
+		note(t.Join())
+	}
+	return first
+}
