Limits: a customer far below its limit may use its part of a window at once

Ruled out: the customers' use (0.16 to 0.19 of their limits on all four sites). Change: each gateway knows what customers ask of all gateways; who uses under 0.4 of a limit (1.6 times what was told) may go below the level by what it has not used of 0.8 of its even part of a window. Not within a window after a start or a return, nor while nothing can be read. View.Divide gives a Division.

--- a/daemon/entry/clusterer_cards.go
+++ b/daemon/entry/clusterer_cards.go
@@ -122,8 +122,7 @@
 	if len(addresses) > 0 {
 		offerOr(c.directory, directoryMessage{addresses: addresses}, c.log)
 	}
-	var news setShares
-	news.gateways, news.shares = c.view.Divide(c.card.Instance, now)
+	news := setShares{division: c.view.Divide(c.card.Instance, now)}
 	for _, card := range ready {
 		if card.Instance != c.card.Instance {
 			news.others++
@@ -131,7 +130,7 @@
 	}
 	if isStale := c.view.IsStale(now); isStale != c.isStale {
 		c.isStale = isStale
-		c.log.Warn().Bool("reduced", isStale).Int("gateways", news.gateways).Msg("limits_divided")
+		c.log.Warn().Bool("reduced", isStale).Int("gateways", news.division.Gateways).Msg("limits_divided")
 	}
 	offerOr(c.dispatch, dispatchMessage(news), c.log)
 	offerOr(c.dispatch, dispatchMessage(setClock{ahead: c.ahead()}), c.log)
--- a/daemon/entry/dispatcher.go
+++ b/daemon/entry/dispatcher.go
@@ -83,7 +83,7 @@
 	case confirmView:
 		d.core.Confirm(now)
 	case setShares:
-		d.core.SetShares(m.gateways, m.shares)
+		d.core.Divide(m.division, now)
 		d.core.SetOthers(m.others)
 	case setClock:
 		d.ahead = m.ahead
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -145,6 +145,7 @@
 		RetryRatio:  e.settings.RetryRatio,
 		RetryExtra:  e.settings.RetryExtra,
 		RetryWindow: e.settings.RetryWindow,
+		LimitWindow: e.settings.LimitWindow,
 		LimitSlack:  e.settings.LimitSlack,
 		Unconfirmed: true,
 		Health: health.Config{
--- a/daemon/entry/set_shares.go
+++ b/daemon/entry/set_shares.go
@@ -1,11 +1,12 @@
 package entry
 
-// setShares is the number of gateways, how many others take requests, and this
-// one's part of the customers' limits.
+import "github.com/sycamorecourse/sycamorecourse/serving/cluster"
+
+// setShares says how limits and budgets are divided, and how many other gateways
+// take requests.
 type setShares struct {
-	gateways int
+	division cluster.Division
 	others   int
-	shares   map[string]float64
 }
 
 func (setShares) isDispatchMessage() {}
--- a/serving/cluster/view.go
+++ b/serving/cluster/view.go
@@ -14,6 +14,9 @@
 	hold    time.Duration
 	peers   map[string]*peer
 	read    clock.Instant
+	// returned is set by a read after a time in which the others may have taken
+	// this gateway's part over.
+	returned bool
 }
 
 // NewView makes an empty view. A gateway whose row did not change for the first
@@ -37,6 +40,7 @@
 			p.changed = p.changed.Add(gap)
 		}
 	}
+	v.returned = v.read != 0 && v.IsStale(now)
 	v.read = now
 	seen := make(map[string]bool, len(cards))
 	for _, card := range cards {
@@ -190,19 +194,33 @@
 	return shares
 }
 
-// Divide returns among how many gateways limits are divided, and the parts of one
-// of them by customer. Once the others may have taken this one's part over, since
-// it has read nothing for so long, it keeps a small piece of that part: most of
-// the time the store is away from all of them, and they divide as before.
-func (v *View) Divide(self string, now clock.Instant) (gateways int, shares map[string]float64) {
-	gateways, shares = max(len(v.Holders()), 1), v.Shares(self)
-	if !v.IsStale(now) {
-		return gateways, shares
+// Divide divides limits and budgets for one gateway. Once the others may have
+// taken its part over, since it has read nothing for so long, it keeps a small
+// piece of that part: most of the time the store is away from all of them, and
+// they divide as before.
+func (v *View) Divide(self string, now clock.Instant) Division {
+	d := Division{
+		Gateways: max(len(v.Holders()), 1), Shares: v.Shares(self), Demand: v.demand(),
+		Stale: v.IsStale(now), Returned: v.returned,
 	}
-	for customer := range shares {
-		shares[customer] *= staleShare
+	if d.Stale {
+		for customer := range d.Shares {
+			d.Shares[customer] *= staleShare
+		}
+		d.Gateways = int(float64(d.Gateways) / staleShare)
 	}
-	return int(float64(gateways) / staleShare), shares
+	return d
+}
+
+// demand is what customers ask of all gateways.
+func (v *View) demand() map[string]float64 {
+	sum := make(map[string]float64)
+	for _, card := range v.Holders() {
+		for customer, demand := range card.Demand {
+			sum[customer] += demand
+		}
+	}
+	return sum
 }
 
 // IsStale reports whether the rows were last read so long ago that the others may
--- a/serving/relay/core.go
+++ b/serving/relay/core.go
@@ -5,6 +5,7 @@
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
+	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
 )
 
 // Core is the state machine of all requests of one gateway.
@@ -15,9 +16,13 @@
 	states   map[Handle]*state
 	timers   timers
 	meters   map[string]*meter
-	shares   map[string]float64
-	demands  map[string]*demand
-	gateways int
+	division cluster.Division
+	// isDivided is set once it is known how many gateways there are, and calmFrom
+	// is when this gateway knows enough to let customers use a window's part at once.
+	isDivided bool
+	calmFrom  clock.Instant
+	demands   map[string]*demand
+	gateways  int
 	// leaveAt is when a gateway that stops ends; 0 while it does not stop.
 	leaveAt clock.Instant
 	others  int
@@ -26,12 +31,18 @@
 	actions []Action
 }
 
-// assumedGateways divide limits and budgets until SetShares tells how many there
+// assumedGateways divide limits and budgets until Divide tells how many there
 // are.
 const assumedGateways = 10
 
+// defaultLimitWindow counts limits where the configuration names no window.
+const defaultLimitWindow = 8 * time.Second
+
 // New makes a core that knows of no configuration and no upstream.
 func New(config Config) *Core {
+	if config.LimitWindow <= 0 {
+		config.LimitWindow = defaultLimitWindow
+	}
 	gateways := 1
 	if config.Unconfirmed {
 		gateways = assumedGateways
@@ -65,7 +76,7 @@
 			delete(c.meters, name)
 			continue
 		}
-		m.configure(customer)
+		m.configure(customer, c.gateways)
 	}
 }
 
@@ -94,19 +105,29 @@
 	c.viewed = now
 }
 
-// SetShares sets the number of gateways and this one's part of the limits of
-// customers; those that are not named get an even part.
-func (c *Core) SetShares(gateways int, shares map[string]float64) {
-	c.gateways = max(gateways, 1)
-	c.shares = shares
+// Divide sets the number of gateways and this one's part of the limits of
+// customers.
+func (c *Core) Divide(d cluster.Division, now clock.Instant) {
+	if !c.isDivided || d.Returned {
+		c.calmFrom = now.Add(c.config.LimitWindow)
+	}
+	c.isDivided = true
+	c.gateways, c.division = max(d.Gateways, 1), d
 	for name, m := range c.meters {
 		m.share, m.slack = c.share(name), c.slack()
 		if c.catalog != nil && c.catalog.Customers[name] != nil {
-			m.configure(c.catalog.Customers[name])
+			m.configure(c.catalog.Customers[name], c.gateways)
 		}
 	}
 }
 
+// isCalm reports whether a customer is known to be far below its limit, over all
+// gateways. A gateway that has just started or returned does not know.
+func (c *Core) isCalm(m *meter, customer *catalog.Customer, now clock.Instant) bool {
+	isKnown := c.isDivided && !c.division.Stale && !now.Before(c.calmFrom)
+	return isKnown && m.usedShare(c.division.Demand[customer.Name], customer) <= calmUse
+}
+
 // Leave makes the core refuse requests that may not end by an instant.
 func (c *Core) Leave(until clock.Instant) {
 	c.leaveAt = until
@@ -181,7 +202,7 @@
 }
 
 func (c *Core) share(customer string) float64 {
-	if share, ok := c.shares[customer]; ok {
+	if share, ok := c.division.Shares[customer]; ok {
 		return share
 	}
 	return 1 / float64(c.gateways)
--- a/serving/relay/core_arrive.go
+++ b/serving/relay/core_arrive.go
@@ -131,13 +131,14 @@
 		c.demands[s.customer.Name] = d
 	}
 	d.add(cost(s), now)
-	return c.meter(s.customer, now).take(cost(s), now)
+	m := c.meter(s.customer, now)
+	return m.take(cost(s), c.isCalm(m, s.customer, now), now)
 }
 
 func (c *Core) meter(customer *catalog.Customer, now clock.Instant) *meter {
 	m := c.meters[customer.Name]
 	if m == nil {
-		m = newMeter(c.share(customer.Name), c.slack(), customer, now)
+		m = newMeter(c.share(customer.Name), c.slack(), c.gateways, c.config.LimitWindow, customer, now)
 		c.meters[customer.Name] = m
 	}
 	return m
--- a/serving/relay/meter.go
+++ b/serving/relay/meter.go
@@ -16,7 +16,23 @@
 // refused while the customer is below its limit.
 const slackShare = 0.5
 
-// meter is this gateway's part of a customer's limit.
+const (
+	// windowParts is the number of parts into which the window of a limit is divided.
+	windowParts = 16
+	// calmUse is the use of a limit, over all gateways, up to which a customer is
+	// calm: it may use its even part of a whole window at once.
+	calmUse = 0.4
+	// calmShare is what calm customers may use of that part.
+	calmShare = 0.8
+	// demandMargin is by how much what a customer asks may be more than was told,
+	// while it rises.
+	demandMargin = 1.6
+)
+
+// meter is this gateway's part of a customer's limit. A level fills steadily, up
+// to the part of the burst. With many gateways that is less than one request, so
+// that a customer far below its limit may also go below, by what it has not used
+// of its part of the window; what it has used then is missing to the level later.
 type meter struct {
 	share float64 // of the limit, 0 to 1
 	slack float64 // what may be used at once beside the part of the burst
@@ -24,29 +40,44 @@
 	burst float64
 	level float64
 	at    clock.Instant
+	// window is the time over which the limit is counted, and whole what a calm
+	// customer may use in it.
+	window  time.Duration
+	whole   float64
+	parts   [windowParts + 1]float64
+	current int64
 }
 
-func newMeter(share, slack float64, c *catalog.Customer, now clock.Instant) *meter {
-	m := &meter{share: share, slack: slack, at: now}
-	m.configure(c)
+func newMeter(share, slack float64, gateways int, window time.Duration, c *catalog.Customer, now clock.Instant) *meter {
+	m := &meter{share: share, slack: slack, at: now, window: max(window, windowParts)}
+	m.current = m.number(now)
+	m.configure(c, gateways)
 	m.level = startFill * m.burst
 	return m
 }
 
 // configure takes the limit of a customer. A lower one binds at once.
-func (m *meter) configure(c *catalog.Customer) {
+func (m *meter) configure(c *catalog.Customer, gateways int) {
+	m.whole = calmShare * (c.Rate*m.window.Seconds() + c.Burst) / float64(gateways)
 	m.rate = c.Rate * m.share
 	m.burst = c.Burst*m.share + m.slack
 	m.level = min(m.level, m.burst)
 }
 
+// usedShare is the part of a customer's limit that is in use, given what it asks
+// of all gateways a second.
+func (m *meter) usedShare(demand float64, c *catalog.Customer) float64 {
+	seconds := m.window.Seconds()
+	return demandMargin * demand * seconds / max(c.Rate*seconds+c.Burst, 1)
+}
+
 // take takes an amount, or returns how long it takes until there is enough.
-func (m *meter) take(amount float64, now clock.Instant) (time.Duration, bool) {
-	m.level = min(m.level+m.rate*now.Sub(m.at).Seconds(), m.burst)
-	m.at = now
+func (m *meter) take(amount float64, isCalm bool, now clock.Instant) (time.Duration, bool) {
+	m.pass(now)
 	// An amount over the whole burst passes when the meter is full.
-	if m.level >= min(amount, m.burst) {
+	if m.level >= min(amount, m.burst) || (isCalm && m.used()+amount <= m.whole) {
 		m.level -= amount
+		m.parts[m.current%int64(len(m.parts))] += amount
 		return 0, true
 	}
 	if m.rate <= 0 {
@@ -59,4 +90,31 @@
 // giveBack returns what was not used.
 func (m *meter) giveBack(amount float64) {
 	m.level = min(m.level+amount, m.burst)
+	part := &m.parts[m.current%int64(len(m.parts))]
+	*part = max(*part-amount, 0)
+}
+
+// used is what was used in the last window.
+func (m *meter) used() float64 {
+	sum := 0.0
+	for _, part := range m.parts {
+		sum += part
+	}
+	return sum
+}
+
+// pass lets the time go on to an instant.
+func (m *meter) pass(now clock.Instant) {
+	m.level = min(m.level+m.rate*now.Sub(m.at).Seconds(), m.burst)
+	m.at = now
+	number := m.number(now)
+	for m.current < number {
+		m.current = max(m.current+1, number-int64(len(m.parts)))
+		m.parts[m.current%int64(len(m.parts))] = 0
+	}
+}
+
+// number counts the parts of all time up to an instant.
+func (m *meter) number(now clock.Instant) int64 {
+	return int64(time.Duration(now) / (m.window / windowParts))
 }
