--- a/serving/relay/meter.go
+++ b/serving/relay/meter.go
@@ -21,9 +21,13 @@
 	windowParts = 16
 	// calmUse is the use of a limit, over all gateways, up to which a customer is
 	// calm: it may use its even part of a whole window at once.
-	calmUse = 0.4
+	calmUse = 0.6
 	// calmShare is what calm customers may use of that part.
 	calmShare = 0.8
+	// calmRequests is how many usual requests of a calm customer the level may miss.
+	calmRequests = 3
+	// costWeight is the weight of one request in the usual cost.
+	costWeight = 0.1
 	// demandMargin is by how much what a customer asks may be more than was told,
 	// while it rises.
 	demandMargin = 1.6
@@ -31,8 +35,8 @@
 
 // meter is this gateway's part of a customer's limit. A level fills steadily, up
 // to the part of the burst. With many gateways that is less than one request, so
-// that a customer far below its limit may also go below, by what it has not used
-// of its part of the window; what it has used then is missing to the level later.
+// that a customer far below its limit may also go below, by a few requests and by
+// what it has not used of its part of the window. The level makes up for it.
 type meter struct {
 	share float64 // of the limit, 0 to 1
 	slack float64 // what may be used at once beside the part of the burst
@@ -44,6 +48,7 @@
 	// customer may use in it.
 	window  time.Duration
 	whole   float64
+	cost    float64 // of a usual request
 	parts   [windowParts + 1]float64
 	current int64
 }
@@ -74,8 +79,13 @@
 // take takes an amount, or returns how long it takes until there is enough.
 func (m *meter) take(amount float64, isCalm bool, now clock.Instant) (time.Duration, bool) {
 	m.pass(now)
+	if m.cost == 0 {
+		m.cost = amount
+	}
+	m.cost += costWeight * (amount - m.cost)
+	isAllowed := isCalm && m.level >= -calmRequests*m.cost && m.used()+amount <= m.whole
 	// An amount over the whole burst passes when the meter is full.
-	if m.level >= min(amount, m.burst) || (isCalm && m.used()+amount <= m.whole) {
+	if m.level >= min(amount, m.burst) || isAllowed {
 		m.level -= amount
 		m.parts[m.current%int64(len(m.parts))] += amount
 		return 0, true
