--- a/proof/soak/world/world.go
+++ b/proof/soak/world/world.go
@@ -166,14 +166,15 @@
 // one more, /vN/.
 func (w *World) Configure() error {
 	w.version++
-	routes := []map[string]any{
-		route("/stream/", "streaming", "llm", 2, true),
-		route("/single/", "streaming", "llm", 1, false),
-		route("/safe/", "idempotent", "app", 2, false),
-		route("/once/", "non_idempotent", "app", 1, false),
+	routes := []route{
+		newRoute("/stream/", "streaming", "llm", 2),
+		newRoute("/single/", "streaming", "llm", 1),
+		newRoute("/safe/", "idempotent", "app", 2),
+		newRoute("/once/", "non_idempotent", "app", 1),
 	}
+	routes[0].Resumes = true
 	for v := range w.version {
-		routes = append(routes, route(fmt.Sprintf("/v%d/", v+1), "idempotent", "app", 2, false))
+		routes = append(routes, newRoute(fmt.Sprintf("/v%d/", v+1), "idempotent", "app", 2))
 	}
 	value, err := json.Marshal(map[string]any{
 		"version": w.version, "routes": routes,
@@ -187,13 +188,6 @@
 	return Posted(w.Store, func() { w.Store.Put("op", "config", value) })
 }
 
-func route(prefix, kind, service string, attempts int, resume bool) map[string]any {
-	return map[string]any{
-		"name": "r" + prefix, "hostname": Host, "prefix": prefix, "route_type": kind, "timeout_ms": 2000,
-		"target_latency_ms": 400, "service": service, "attempts": attempts, "stream_resume": resume, "gap_target_ms": 400,
-	}
-}
-
 // Runs returns what all upstreams have run, those that are gone included.
 func (w *World) Runs() ([]replica.Run, error) {
 	var all []replica.Run
