Client: connections are read up to their end by us; no second descriptor

Cause: for a body that ends with its connection the client held a second descriptor of the connection, to read how it had ended. The kernel keeps a connection in the poller's set until its last descriptor is closed, under the number of the first. So after the library had closed its own, the poller was still told of the end, and when a dialer had got that number for a new connection, the poller closed the new one: a request that had not been sent (NotSentError instead of BrokenError), or an innocent answer broken off. The race report was the same event: the poller's first call for the new connection was a close, which nothing ordered after the dialer's writes; for data a counter did that.

Tests: "keeps a connection that is made just as another is reset" is new. What remains of the kind: a thread other than the poller closes a connection (a call given up) while the poller already holds a notice for it, and the number is used again before it is handled; the library has no way around.

--- a/edge/httpc/client.go
+++ b/edge/httpc/client.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -27,8 +26,7 @@
 	// dialings are the connections being made, in the order of their limits.
 	dialings []*dialing
 	dialers  []*dialer
-	// dials counts connections made; see setUp.
-	dials atomic.Uint64
+	reader   *reader
 }
 
 // New makes a client; Open starts its pollers.
@@ -38,6 +36,7 @@
 		config: config,
 		inbox:  ring.New[event](config.Name, config.Capacity),
 		idle:   make(map[string][]*connection),
+		reader: newReader(),
 	}
 }
 
@@ -46,10 +45,10 @@
 	c.engine = nbhttp.NewEngine(nbhttp.Config{
 		NPoller:                c.config.Pollers,
 		LockPoller:             true,
-		ReadBufferSize:         32 << 10,
 		MessageHandlerPoolSize: 2,
 		SupportServerOnly:      true,
 	})
+	c.reader.attach(c.engine)
 	if err := c.engine.Start(); err != nil {
 		return err
 	}
@@ -183,10 +182,6 @@
 
 // setUp gives a new connection to the pollers. The parser is set up before, so
 // that no event finds it missing.
-//
-// The counter orders this thread's writes before the poller's reads. The library
-// leaves that to the kernel, which orders the two in fact, but not by the memory
-// model of the language.
 func (c *Client) setUp(made net.Conn, address string) (*connection, error) {
 	raw, err := nbio.NBConn(made)
 	if err != nil {
@@ -195,11 +190,8 @@
 	}
 	conn := &connection{address: address, conn: raw, onFree: c.free}
 	raw.SetSession(nbhttp.NewParser(raw, c.engine, conn, true, nil))
-	raw.OnData(func(of *nbio.Conn, data []byte) {
-		_ = c.dials.Load()
-		c.engine.DataHandler(of, data)
-	})
-	c.dials.Add(1)
+	raw.OnData(c.engine.DataHandler)
+	c.reader.made()
 	if _, err := c.engine.AddConn(raw); err != nil {
 		_ = raw.Close()
 		return nil, err
--- a/edge/httpc/connection.go
+++ b/edge/httpc/connection.go
@@ -33,10 +33,8 @@
 	announced bool
 	last      bool
 	chunked   bool
-	// open is true for a body that ends with the connection, and tail is then a
-	// second descriptor of it.
+	// open is true for a body that ends with the connection.
 	open bool
-	tail *tail
 }
 
 // OnMethod implements nbhttp.Processor.
@@ -100,7 +98,6 @@
 		// The parser takes the end of the head for the end of the answer. What
 		// follows is read as it comes.
 		parser.ParserCloser = &openBody{connection: c}
-		c.tail = newTail(c.conn)
 		return
 	}
 	call := c.current.Load()
@@ -131,26 +128,23 @@
 func (c *connection) Close(_ *nbhttp.Parser, err error) {
 	call := c.current.Swap(nil)
 	if call == nil {
-		c.tail.close()
 		return
 	}
 	if !c.open {
 		call.Sink.Failed(&BrokenError{Address: c.address, Err: causeOf(err, call)})
 		return
 	}
-	c.closeOpen(call, causeOf(err, call))
+	c.closeOpen(call, err)
 }
 
-// closeOpen ends an answer whose body ends with the connection.
-func (c *connection) closeOpen(call *Call, cause error) {
-	var closed *ClosedError
-	if errors.As(cause, &closed) {
+// closeOpen ends an answer whose body ends with the connection. It is whole only
+// if the reader has come to an ordinary end.
+func (c *connection) closeOpen(call *Call, err error) {
+	var ended *ClosedError
+	cause := causeOf(err, call)
+	if errors.As(err, &ended) {
 		cause = c.announce(call)
 	}
-	if cause == nil {
-		cause = c.tail.drain(call.Sink)
-	}
-	c.tail.close()
 	if cause != nil {
 		call.Sink.Failed(&BrokenError{Address: c.address, Err: &TruncatedError{Err: cause}})
 		return
--- a/edge/httpc/odd_servers_test.go
+++ b/edge/httpc/odd_servers_test.go
@@ -137,6 +137,25 @@
 		}
 	})
 
+	It("keeps a connection that is made just as another is reset", func() {
+		const tries = 200
+		scripts := make([]func(*net.TCPConn), 0, 2*tries)
+		for range tries {
+			scripts = append(scripts, func(c *net.TCPConn) {
+				_, _ = c.Write([]byte(head + "\r\n"))
+				_ = c.SetLinger(0)
+				_ = c.Close()
+			}, ends(head+"Connection: close\r\nContent-Length: 2\r\n\r\nok"))
+		}
+		serve(scripts...)
+		for range tries {
+			_, err := call()
+			Expect(err).To(BeAssignableToTypeOf(&httpc.BrokenError{}))
+			_, err = call()
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
 	It("does not take the answer of another request", func() {
 		serve(
 			says(head+"Content-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nName: z\r\nContent-Length: 4\r\n\r\nlate"),
