Orders: nothing given up while the load is new; one at a time

Change: after the first load nothing is given up for 8 s, as for a new holder before; afterwards one by one (or 6 in 100).

Test: planner_test "gives nothing up while the load is new" failed before.

--- a/serving/scale/planner.go
+++ b/serving/scale/planner.go
@@ -31,9 +31,10 @@
 	// settleTime is how long the number of upstreams must have stayed the same at
 	// the start until all are taken to have registered.
 	settleTime = 3 * time.Second
-	// inheritTime is how long a new holder keeps what there is, while the load is
-	// that of gateways which may have just started.
-	inheritTime = 8 * time.Second
+	// learnTime is how long nothing is given up after the first load, which is an
+	// average that has only begun, or is that of gateways which may have just
+	// started.
+	learnTime = 8 * time.Second
 	// firstShare is the share of the upstreams that are there at the start which is
 	// taken to be needed until the load is known.
 	firstShare = 0.55
@@ -42,7 +43,7 @@
 	// stepTime is the time between two steps down.
 	stepTime = 500 * time.Millisecond
 	// stepDown is the size of a step, and stepShare its share of a large need.
-	stepDown  = 2
+	stepDown  = 1
 	stepShare = 0.06
 	// orderSlack is how long after their boot ordered upstreams may be missing
 	// before they are ordered again.
@@ -111,10 +112,9 @@
 		t.await(sum(have, false), now)
 		return t.need
 	}
-	if !t.isLoaded && t.first == 0 {
-		t.inherit(sum(have, false), now)
+	if !t.isLoaded {
+		t.begin(sum(have, false), now)
 	}
-	t.isLoaded = true
 	need := carry(max(load.Open/float64(max(s.Engine.Slots, 1)), load.Reading/readTokensPerSecond))
 	// An overload looks like more than it is: requests are read again.
 	need = min(need, max(t.need, there+growth))
--- a/serving/scale/planner_test.go
+++ b/serving/scale/planner_test.go
@@ -132,6 +132,15 @@
 		Expect(m.total(false)).To(BeNumerically("<", before))
 	})
 
+	It("gives nothing up while the load is new, whose average has only begun", func() {
+		run(scale.Load{}, 10)
+		before := m.total(false)
+		run(scale.Load{Open: 4, Reading: 20_000}, 7)
+		Expect(m.total(false)).To(Equal(before))
+		run(scale.Load{Open: 4, Reading: 20_000}, 60)
+		Expect(m.total(false)).To(BeNumerically("<", before))
+	})
+
 	It("settles: a steady load gives no orders any more", func() {
 		run(scale.Load{Open: 40, Reading: 60_000}, 60)
 		Expect(run(scale.Load{Open: 40, Reading: 60_000}, 60)).To(BeZero())
--- a/serving/scale/trend.go
+++ b/serving/scale/trend.go
@@ -20,10 +20,13 @@
 	isLoaded bool
 }
 
-// inherit takes what a former holder has ordered for what is needed.
-func (t *trend) inherit(onDemand int, now clock.Instant) {
-	t.need = int(math.Ceil(float64(onDemand) / onDemandShare))
-	t.at = now.Add(inheritTime - lullTime)
+// begin notes the first load. What a former holder has ordered is taken for what
+// is needed, where nothing was there before any load.
+func (t *trend) begin(onDemand int, now clock.Instant) {
+	if t.first == 0 {
+		t.need = int(math.Ceil(float64(onDemand) / onDemandShare))
+	}
+	t.isLoaded, t.at = true, now.Add(learnTime-lullTime)
 }
 
 // await takes the number of upstreams before any load.
