Orders: nothing on demand given up while reclaimable ones are short

Reclaimable upstreams of one failure domain went at 9.4 s with none to be had; the need went on falling (47 to 34, `upstreams_ordered`), one on-demand upstream after the other was given up, and at 15 s the other two domains went too. 34 were left for a load that read everything again, and the bound of growth let the need rise by three for each boot.

Change: while there are fewer reclaimable upstreams than 0.75 of what is wanted, the need does not fall. What is wanted is after the bound that both kinds share; against the bare 1.2 of the need it never ended where there is little room.

Test: planner_test "gives nothing up on demand while reclaimable ones are short" failed before.

--- a/serving/scale/planner.go
+++ b/serving/scale/planner.go
@@ -26,6 +26,9 @@
 	// spareShare is the number of reclaimable upstreams for each that the load
 	// needs.
 	spareShare = 1.2
+	// shortShare is the part of the reclaimable upstreams wanted under which they
+	// are short, and nothing is given up.
+	shortShare = 0.75
 	// growth bounds how many more than there are may be needed.
 	growth = 3
 	// settleTime is how long the number of upstreams must have stayed the same at
@@ -74,6 +77,7 @@
 	}
 	have := count(s.Name, upstreams)
 	need := p.need(s, have, load, now)
+	spares := 0
 	var due []Order
 	for i, domain := range domains {
 		plain := subject{service: s.Name, failureDomain: domain}
@@ -82,15 +86,24 @@
 		keep = min(max(keep, leastOnDemand, s.Scale.Min), s.Scale.Max)
 		// Both kinds share the bound, so that room for one kind is what there is
 		// of the other, or will be.
-		spare := min(part(spareShare*float64(need), 0, len(domains)), s.Scale.Max-max(keep, have[plain]))
+		spare := max(min(part(spareShare*float64(need), 0, len(domains)), s.Scale.Max-max(keep, have[plain])), 0)
+		spares += spare
 		if p.isSettled(s.Name, now) {
 			due = p.consider(due, plain, keep, have[plain], need, load, s, now)
 		}
-		due = p.consider(due, reclaimable, max(spare, 0), have[reclaimable], need, load, s, now)
+		due = p.consider(due, reclaimable, spare, have[reclaimable], need, load, s, now)
 	}
+	p.wantSpare(s.Name, spares)
 	return due
 }
 
+// wantSpare notes how many reclaimable upstreams a service should have.
+func (p *Planner) wantSpare(service string, count int) {
+	t := p.trends[service]
+	t.spare = count
+	p.trends[service] = t
+}
+
 // part divides a number evenly; the first parts get what is left over.
 func part(total float64, i, parts int) int {
 	return max((int(math.Ceil(total))-i+parts-1)/parts, 0)
@@ -121,6 +134,9 @@
 	switch {
 	case need >= t.need:
 		t.need, t.at = need, now
+	case float64(sum(have, true)) < shortShare*float64(t.spare):
+		// What is on demand may have to carry all of the load.
+		t.at = now
 	case now.Sub(t.at) >= lullTime:
 		t.need, t.at = max(need, t.need-max(stepDown, int(stepShare*float64(t.need)))), now.Add(stepTime-lullTime)
 	}
--- a/serving/scale/planner_test.go
+++ b/serving/scale/planner_test.go
@@ -141,6 +141,17 @@
 		Expect(m.total(false)).To(BeNumerically("<", before))
 	})
 
+	It("gives nothing up on demand while reclaimable ones are short", func() {
+		run(scale.Load{Open: 150, Reading: 300_000}, 60)
+		before := m.total(false)
+		m.counts["x/reclaimable"], m.counts["y/reclaimable"], m.dry = 0, 0, true
+		run(scale.Load{Open: 20, Reading: 60_000}, 30)
+		Expect(m.total(false)).To(BeNumerically(">=", before))
+		m.dry = false
+		run(scale.Load{Open: 20, Reading: 60_000}, 60)
+		Expect(m.total(false)).To(BeNumerically("<", before))
+	})
+
 	It("settles: a steady load gives no orders any more", func() {
 		run(scale.Load{Open: 40, Reading: 60_000}, 60)
 		Expect(run(scale.Load{Open: 40, Reading: 60_000}, 60)).To(BeZero())
--- a/serving/scale/trend.go
+++ b/serving/scale/trend.go
@@ -16,6 +16,8 @@
 	// is when it last changed.
 	first int
 	since clock.Instant
+	// spare is the number of reclaimable upstreams wanted beside those on demand.
+	spare int
 	// isLoaded is set once a load was seen.
 	isLoaded bool
 }
