Watch: changes of upstreams gathered by their number

With a hundred upstreams one of them changes all the time, so that each pause of 350 ms is followed by a call.

Change: 300 ms and 4 ms for each upstream, at most a quarter of the time in which news must have arrived. On the first sites that is what it was (348 ms for twelve).

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -115,7 +115,7 @@
 	e.watch.inbox = ring.New[watchMessage]("watch", controlSlots)
 	e.watch.dispatch, e.watch.directory, e.watch.cluster = dispatches, directories, clusters
 	e.watch.store, e.watch.clock, e.watch.log = store, clock.System{}, log
-	e.watch.feedWait = feedWait(s.NewsLimit)
+	e.watch.newsLimit = s.NewsLimit
 	e.cluster = e.newClusterer(store, clusters)
 	e.directory = &directory{inbox: directories, keep: min(addressKeep, s.AddressKeep), log: log}
 	e.directory.addresses = []string{s.CallerAddress}
--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -24,8 +24,13 @@
 	// store holds a feed: a connection that has gone silent is found at its end.
 	feedShare = 0.55
 	// gatherTime is the pause after a change, so that those that come together
-	// cost one call.
-	gatherTime = 350 * time.Millisecond
+	// cost one call, and gatherPerUpstream what each upstream adds to it: the more
+	// there are, the more often one of them changes.
+	gatherTime        = 300 * time.Millisecond
+	gatherPerUpstream = 4 * time.Millisecond
+	// gatherShare is the part of the time in which news must have arrived that the
+	// pause may take.
+	gatherShare = 0.25
 	// watchRetry is the wait after a failed call.
 	watchRetry = 150 * time.Millisecond
 	// lapseGrace is the time after the store's return in which the entries of live
@@ -43,7 +48,8 @@
 	store     *rows.Client
 	clock     clock.Clock
 	log       zerolog.Logger
-	feedWait  time.Duration
+	// newsLimit is the time in which news must have arrived.
+	newsLimit time.Duration
 
 	tables  map[string]*watched
 	roster  *roster.Roster
@@ -62,6 +68,12 @@
 	return min(max(time.Duration(feedShare*float64(limit)), shortestFeed), longestFeed)
 }
 
+// gather is the pause after a change of the upstreams.
+func (w *watch) gather() time.Duration {
+	pause := gatherTime + time.Duration(w.roster.Len())*gatherPerUpstream
+	return min(pause, time.Duration(gatherShare*float64(w.newsLimit)))
+}
+
 func newWatch() *watch {
 	return &watch{
 		roster: roster.New(lapseGrace),
@@ -96,7 +108,7 @@
 
 // wait is the time until a call or a change of the list is due.
 func (w *watch) wait(now clock.Instant) time.Duration {
-	wait := w.feedWait
+	wait := feedWait(w.newsLimit)
 	if w.pending || w.configChanged || w.fleetChanged {
 		wait = watchRetry
 	}
@@ -128,7 +140,7 @@
 		w.store.List(t.table, "", done)
 		return
 	}
-	w.store.Feed(t.table, t.version, w.feedWait, done)
+	w.store.Feed(t.table, t.version, feedWait(w.newsLimit), done)
 }
 
 func (w *watch) heard(m watchMessage, now clock.Instant) {
@@ -151,7 +163,7 @@
 		return
 	}
 	if len(m.page.Rows) > 0 && t.table == served.UpstreamTable {
-		t.retryAt = now.Add(gatherTime)
+		t.retryAt = now.Add(w.gather())
 	}
 	t.version = m.page.Version
 	t.heard = now
--- a/serving/roster/roster.go
+++ b/serving/roster/roster.go
@@ -99,6 +99,11 @@
 	return list
 }
 
+// Len returns the number of entries.
+func (r *Roster) Len() int {
+	return len(r.entries)
+}
+
 // Entries returns all entries, those that leave included.
 func (r *Roster) Entries() map[string]*catalog.Upstream {
 	return r.entries
