Limits: looser where a gateway's part holds few requests

With 35 gateways a part of a window is two or three requests. Customers use 0.55 of their limits there, which with the margin for a rise was no longer calm.

Change: where a part of a window holds under 16 usual requests a customer is calm up to 0.9 of its limit; of the slack each gateway takes an eighth, 0.8 in all (0.5 divided before: the same at four gateways).

Tests: relay_test "one at half of its limit, where a part holds few" failed before.

--- a/serving/relay/core.go
+++ b/serving/relay/core.go
@@ -125,7 +125,7 @@
 // gateways. A gateway that has just started or returned does not know.
 func (c *Core) isCalm(m *meter, customer *catalog.Customer, now clock.Instant) bool {
 	isKnown := c.isDivided && !c.division.Stale && !now.Before(c.calmFrom)
-	return isKnown && m.usedShare(c.division.Demand[customer.Name], customer) <= calmUse
+	return isKnown && m.isCalm(m.usedShare(c.division.Demand[customer.Name], customer))
 }
 
 // Leave makes the core refuse requests that may not end by an instant.
@@ -198,7 +198,7 @@
 
 // slack is this gateway's part of the slack of a limit.
 func (c *Core) slack() float64 {
-	return slackShare * c.config.LimitSlack / float64(c.gateways)
+	return min(slackPart, slackShare/float64(c.gateways)) * c.config.LimitSlack
 }
 
 func (c *Core) share(customer string) float64 {
--- a/serving/relay/meter.go
+++ b/serving/relay/meter.go
@@ -11,10 +11,14 @@
 // has just started: what it used there before is not known.
 const startFill = 0.8
 
-// slackShare is the part of the slack of a limit that all gateways together use,
-// so that a request which is large against a gateway's part of the burst is not
-// refused while the customer is below its limit.
-const slackShare = 0.5
+const (
+	// slackPart is the part of the slack of a limit that one gateway uses, so that a
+	// request which is large against its part of the burst is not refused while the
+	// customer is below its limit.
+	slackPart = 0.125
+	// slackShare is what all gateways together use of it.
+	slackShare = 0.8
+)
 
 const (
 	// windowParts is the number of parts into which the window of a limit is divided.
@@ -22,6 +26,11 @@
 	// calmUse is the use of a limit, over all gateways, up to which a customer is
 	// calm: it may use its even part of a whole window at once.
 	calmUse = 0.6
+	// fewUse takes the place of calmUse where what a calm customer may use of a
+	// window is under fewRequests usual requests, so that chance alone brings many
+	// gateways to it.
+	fewUse      = 0.9
+	fewRequests = 16
 	// calmShare is what calm customers may use of that part.
 	calmShare = 0.8
 	// calmRequests is how many usual requests of a calm customer the level may miss.
@@ -76,6 +85,15 @@
 	return demandMargin * demand * seconds / max(c.Rate*seconds+c.Burst, 1)
 }
 
+// isCalm reports whether a customer whose use is such a share of its limit is far
+// enough below it.
+func (m *meter) isCalm(used float64) bool {
+	if m.whole < fewRequests*m.cost {
+		return used <= fewUse
+	}
+	return used <= calmUse
+}
+
 // take takes an amount, or returns how long it takes until there is enough.
 func (m *meter) take(amount float64, isCalm bool, now clock.Instant) (time.Duration, bool) {
 	m.pass(now)
