Stand-ins: operator and requester; proofs know no names of the wire

Cause: proof/soak wrote configurations, entries of upstreams and the fields of callers with the platform's names, in four packages, and proof/entry a second time as maps.

Change: `standin/operator` writes configurations and entries, `standin/requester` the fields of a request and the question to a directory; both proofs use them.

--- a/proof/entry/path_test.go
+++ b/proof/entry/path_test.go
@@ -17,6 +17,7 @@
 	"github.com/sycamorecourse/sycamorecourse/standin/duties"
 	"github.com/sycamorecourse/sycamorecourse/standin/host"
 	"github.com/sycamorecourse/sycamorecourse/standin/hosttest"
+	"github.com/sycamorecourse/sycamorecourse/standin/operator"
 	"github.com/sycamorecourse/sycamorecourse/standin/replica"
 )
 
@@ -148,8 +149,8 @@
 	It("does not let another upstream at a used address run a request", func() {
 		r := s.upstream("app", replica.Config{ID: "a"})
 		s.replicas["former"] = r
-		s.register("app", "former", "ready")
-		posted(s.store, func() { s.store.Delete("servers", "a") })
+		s.register("app", "former", operator.Ready)
+		posted(s.store, func() { operator.Remove(s.store, "a") })
 		g = s.start("g1")
 		Expect(g.ask("POST", "/once/x", "key", "b").status).To(Equal(http.StatusServiceUnavailable))
 		Expect(runs(r)).To(BeEmpty())
@@ -194,7 +195,7 @@
 		a := s.upstream("app", replica.Config{ID: "a"})
 		s.upstream("app", replica.Config{ID: "b"})
 		g = s.start("g1")
-		s.register("app", "a", "draining")
+		s.register("app", "a", operator.Draining)
 		served := func() bool {
 			before := len(runs(a))
 			for range 6 {
@@ -210,23 +211,23 @@
 		g = s.start("g1")
 		Expect(g.ask("GET", "/new/x", "key", "").status).To(Equal(http.StatusNotFound))
 		posted(s.store, s.store.Forget)
-		s.configure(map[string]any{
-			"name": "new", "hostname": "h.example", "prefix": "/new/", "route_type": "idempotent", "timeout_ms": 1000,
-			"target_latency_ms": 100, "service": "app", "attempts": 1,
+		s.configure(operator.Route{
+			Name: "new", Host: "h.example", Prefix: "/new/", Kind: operator.Idempotent, Service: "app", Attempts: 1,
+			TimeoutMS: 1000, TargetMS: 100,
 		})
 		status := func() int { return g.ask("GET", "/new/x", "key", "").status }
 		Eventually(status, "5s", "10ms").Should(Equal(http.StatusOK))
-		posted(s.store, func() { s.store.Put("op", "config", []byte(`{"version":1,"routes":[]}`)) })
-		posted(s.store, func() { s.store.Put("op", "config", []byte(`not json`)) })
+		posted(s.store, func() { operator.WriteText(s.store, []byte(`{"version":1,"routes":[]}`)) })
+		posted(s.store, func() { operator.WriteText(s.store, []byte(`not json`)) })
 		Consistently(status, "1s", "100ms").Should(Equal(http.StatusOK))
 	})
 
 	It("leaves out rows that it can't use", func() {
 		s.upstream("app", replica.Config{ID: "a"})
 		posted(s.store, func() {
-			s.store.Put("servers", "x", []byte(`{"service":7}`))
-			s.store.Put("servers", "y", []byte{0xff, 0x00})
-			s.store.Put("servers", "z", []byte(`{"service":"app","address":"nowhere","slots":4,"state":"ready"}`))
+			operator.WriteEntry(s.store, "x", []byte(`{"service":7}`))
+			operator.WriteEntry(s.store, "y", []byte{0xff, 0x00})
+			operator.WriteEntry(s.store, "z", []byte(`{"service":"app","address":"nowhere","slots":4,"state":"ready"}`))
 			s.store.Put("gateways", "odd", []byte("odd"))
 		})
 		g = s.start("g1")
--- a/proof/entry/site_test.go
+++ b/proof/entry/site_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -20,7 +19,9 @@
 	"github.com/sycamorecourse/sycamorecourse/platform/boot"
 	"github.com/sycamorecourse/sycamorecourse/standin/duties"
 	"github.com/sycamorecourse/sycamorecourse/standin/hosttest"
+	"github.com/sycamorecourse/sycamorecourse/standin/operator"
 	"github.com/sycamorecourse/sycamorecourse/standin/replica"
+	"github.com/sycamorecourse/sycamorecourse/standin/requester"
 	"github.com/sycamorecourse/sycamorecourse/standin/rowstore"
 )
 
@@ -60,42 +61,43 @@
 	Expect(r.Open()).To(Succeed())
 	hosttest.Start(r)
 	s.replicas[config.ID] = r
-	s.register(service, config.ID, "ready")
+	s.register(service, config.ID, operator.Ready)
 	return r
 }
 
-func (s *site) register(service, id, state string) {
-	value, err := json.Marshal(map[string]any{
-		"service": service, "address": s.replicas[id].Address(), "zone": "z", "slots": 4, "state": state, "sequence": 1,
-	})
-	Expect(err).NotTo(HaveOccurred())
-	posted(s.store, func() { s.store.Put("servers", id, value) })
+func (s *site) register(service, id string, state operator.State) {
+	s.write(operator.Upstream{
+		ID: id, Service: service, Address: s.replicas[id].Address(), FailureDomain: "z", Slots: 4, State: state, Sequence: 1,
+	}.Write)
+}
+
+// write lets the store's duty write.
+func (s *site) write(do func(*rowstore.Store) error) {
+	posted(s.store, func() { ExpectWithOffset(2, do(s.store)).To(Succeed()) })
 }
 
-// configure writes a configuration with the routes /stream/, /safe/, /once/ and
-// the given ones.
-func (s *site) configure(more ...map[string]any) {
+// configure writes a configuration with the routes /stream/, /single/, /safe/,
+// /once/ and the given ones.
+func (s *site) configure(more ...operator.Route) {
 	s.version += 3
-	route := func(prefix, kind, service string, attempts int, resume bool) map[string]any {
-		return map[string]any{
-			"name": "r" + prefix, "hostname": "h.example", "prefix": prefix, "route_type": kind, "timeout_ms": 1500,
-			"target_latency_ms": 300, "service": service, "attempts": attempts, "stream_resume": resume, "gap_target_ms": 300,
+	route := func(prefix string, kind operator.Kind, service string, attempts int, resumes bool) operator.Route {
+		return operator.Route{
+			Name: "r" + prefix, Host: "h.example", Prefix: prefix, Kind: kind, Service: service, Attempts: attempts,
+			Resumes: resumes, TimeoutMS: 1500, TargetMS: 300, GapMS: 300,
 		}
 	}
-	routes := []map[string]any{
-		route("/stream/", "streaming", "llm", 2, true),
-		route("/single/", "streaming", "llm", 1, false),
-		route("/safe/", "idempotent", "app", 2, false),
-		route("/once/", "non_idempotent", "app", 1, false),
+	routes := []operator.Route{
+		route("/stream/", operator.Streaming, "llm", 2, true),
+		route("/single/", operator.Streaming, "llm", 1, false),
+		route("/safe/", operator.Idempotent, "app", 2, false),
+		route("/once/", operator.NonIdempotent, "app", 1, false),
 	}
-	value, err := json.Marshal(map[string]any{
-		"version": s.version, "routes": append(routes, more...),
-		"services": []map[string]any{{"name": "llm"}, {"name": "app"}},
-		"limits":   map[string]any{"max_header_bytes": 8000, "max_body_bytes": 100000},
-		"tenants":  []map[string]any{{"name": "acme", "api_keys": []string{"key"}}, {"name": "small", "api_keys": []string{"few"}, "rate_per_s": 1, "burst": 2}},
-	})
-	Expect(err).NotTo(HaveOccurred())
-	posted(s.store, func() { s.store.Put("op", "config", value) })
+	s.write(operator.Configuration{
+		Version: s.version, Routes: append(routes, more...),
+		Services:  []operator.Service{{Name: "llm"}, {Name: "app"}},
+		Limits:    operator.Limits{HeaderBytes: 8000, BodyBytes: 100000},
+		Customers: []operator.Customer{{Name: "acme", Credentials: []string{"key"}}, {Name: "small", Credentials: []string{"few"}, Rate: 1, Burst: 2}},
+	}.Write)
 }
 
 // gateway is a running entry role.
@@ -192,9 +194,7 @@
 	r, err := http.NewRequest(method, "http://"+g.settings.CallerAddress+path, bytes.NewReader([]byte(body)))
 	Expect(err).NotTo(HaveOccurred())
 	r.Host = "h.example"
-	r.Header.Set("Attempt-Id", fmt.Sprintf("%x", time.Now().UnixNano()))
-	r.Header.Set("Deadline-Ms", "4000")
-	r.Header.Set("Credential", credential)
+	requester.Request{ID: fmt.Sprintf("%x", time.Now().UnixNano()), Credential: credential, Left: 4 * time.Second}.Set(r.Header)
 	for i := 0; i < len(fields); i += 2 {
 		r.Header.Set(fields[i], fields[i+1])
 	}
--- a/proof/soak/faults/driver.go
+++ b/proof/soak/faults/driver.go
@@ -12,6 +12,7 @@
 	"github.com/sycamorecourse/sycamorecourse/proof/scenarios/relay"
 	"github.com/sycamorecourse/sycamorecourse/proof/soak/world"
 	"github.com/sycamorecourse/sycamorecourse/standin/host"
+	"github.com/sycamorecourse/sycamorecourse/standin/operator"
 	"github.com/sycamorecourse/sycamorecourse/standin/replica"
 )
 
@@ -255,7 +256,7 @@
 	gone := time.Duration(0)
 	if d.random.IntN(3) > 0 {
 		gone = leaveTime
-		d.add(0, u.ID+" leaves", func() error { return d.world.Register(u, "draining") })
+		d.add(0, u.ID+" leaves", func() error { return d.world.Register(u, operator.Draining) })
 	}
 	d.add(gone, u.ID+" is gone", func() error { return d.world.Remove(u) })
 }
--- a/proof/soak/judge/history.go
+++ b/proof/soak/judge/history.go
@@ -28,7 +28,7 @@
 			body = r.ID
 		}
 		if !known || run.Target != r.Path || string(run.Body) != body ||
-			run.Header.Get("Tenant") != world.Customer || run.Header.Get("Credential") != "" {
+			run.Customer() != world.Customer || run.Credential() != "" {
 			found = append(found, Violation{Rule: Unchanged, ID: run.ID, Detail: fmt.Sprintf("%s %q %v", run.Target, run.Body, run.Header)})
 		}
 	}
@@ -55,7 +55,7 @@
 	case http.StatusOK:
 		expected := answer(r)
 		switch {
-		case r.Seal == "" || ran == 0:
+		case r.Receipt == "" || ran == 0:
 			note(Whole, "a success without a receipt or a run")
 		case r.Err == nil && r.Body != expected:
 			note(Whole, fmt.Sprintf("the body is %q", r.Body))
--- a/proof/soak/judge/history_test.go
+++ b/proof/soak/judge/history_test.go
@@ -33,7 +33,7 @@
 	}
 	as := func(*replica.Run) {}
 	once := func(change func(*load.Record)) load.Record {
-		r := load.Record{ID: "x", Kind: load.Once, Path: "/once/x", Status: 200, Seal: "s", Body: "ok x"}
+		r := load.Record{ID: "x", Kind: load.Once, Path: "/once/x", Status: 200, Receipt: "s", Body: "ok x"}
 		change(&r)
 		return r
 	}
@@ -48,7 +48,7 @@
 	},
 		Entry("two runs", judge.AtMostOnce, once(func(*load.Record) {}), run(as), run(as)),
 		Entry("a refusal of what ran", judge.TrueRefusal, once(func(r *load.Record) { r.Status = 503 }), run(as)),
-		Entry("no receipt", judge.Whole, once(func(r *load.Record) { r.Seal = "" }), run(as)),
+		Entry("no receipt", judge.Whole, once(func(r *load.Record) { r.Receipt = "" }), run(as)),
 		Entry("no run", judge.Whole, once(func(*load.Record) {})),
 		Entry("half an answer that looks whole", judge.Whole, once(func(r *load.Record) { r.Body = "ok" }), run(as)),
 		Entry("bytes out of order", judge.InOrder, once(func(r *load.Record) { r.Body, r.Err = "x ok", broken{} }), run(as)),
@@ -61,7 +61,7 @@
 	It("finds an older configuration on a connection", func() {
 		at := time.Unix(100, 0)
 		newest := func(version, status int, connection string, after time.Duration) load.Record {
-			return load.Record{ID: "n", Kind: load.Newest, Version: version, Status: status, Connection: connection, Start: at.Add(after), Seal: "s", Body: "ok "}
+			return load.Record{ID: "n", Kind: load.Newest, Version: version, Status: status, Connection: connection, Start: at.Add(after), Receipt: "s", Body: "ok "}
 		}
 		runs := []replica.Run{{ID: "n", Header: http.Header{"Tenant": {world.Customer}}}}
 		found := judge.History([]load.Record{newest(3, 200, "1", 0), newest(2, 404, "1", time.Second)}, runs)
--- a/proof/soak/load/caller.go
+++ b/proof/soak/load/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/standin/requester"
 )
 
 const (
@@ -20,7 +20,7 @@
 	keep = 2 * time.Second
 	// patience bounds a request, and deadline is what the system is told of it.
 	patience = 5 * time.Second
-	deadline = "4000"
+	deadline = 4 * time.Second
 	// longestPause bounds the time between two requests.
 	longestPause = 40 * time.Millisecond
 )
@@ -83,18 +83,13 @@
 }
 
 func (c *caller) ask(directory string) bool {
-	res, err := c.asker.Get("http://" + directory + "/-/resolve?name=" + c.config.Host + "&region=r&zone=z")
+	// The next directory is asked then, and the addresses that there are go on
+	// being used.
+	addresses, err := requester.Resolve(c.asker, directory, c.config.Host, "r", "z")
 	if err != nil {
 		return false
 	}
-	defer func() { _ = res.Body.Close() }()
-	var list struct {
-		Addrs []string `json:"addrs"`
-	}
-	if res.StatusCode != http.StatusOK || json.NewDecoder(res.Body).Decode(&list) != nil || len(list.Addrs) == 0 {
-		return false
-	}
-	c.addresses = list.Addrs
+	c.addresses = addresses
 	c.until = time.Now().Add(keep)
 	return true
 }
@@ -146,10 +141,7 @@
 		return
 	}
 	request.Host = c.config.Host
-	request.Header.Set("Attempt-Id", r.ID)
-	request.Header.Set("Deadline-Ms", deadline)
-	request.Header.Set("Credential", c.config.Credential)
-	request.Header.Set("Tenant", "somebody")
+	requester.Request{ID: r.ID, Credential: c.config.Credential, Customer: "somebody", Left: deadline}.Set(request.Header)
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { r.Connection = c.name(info.Conn) }}
 	res, err := c.client.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
@@ -158,7 +150,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	r.Status = res.StatusCode
-	r.Seal = res.Header.Get("Response-Seal")
+	r.Receipt = requester.Receipt(res.Header)
 	var text strings.Builder
 	_, r.Err = io.Copy(&text, res.Body)
 	r.Body = text.String()
--- a/proof/soak/load/record.go
+++ b/proof/soak/load/record.go
@@ -18,8 +18,8 @@
 	Start, End time.Time
 	// Status is the HTTP status; 0 if no answer began.
 	Status int
-	// Seal is the upstream's receipt.
-	Seal string
+	// Receipt is the upstream's receipt.
+	Receipt string
 	// Body is what came of the answer's body.
 	Body string
 	// Err says that the answer did not end; nil if it is whole.
--- a/proof/soak/world/world.go
+++ b/proof/soak/world/world.go
@@ -1,7 +1,6 @@
 package world
 
 import (
-	"encoding/json"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/sycamorecourse/sycamorecourse/coord/thread"
 	"github.com/sycamorecourse/sycamorecourse/proof/scenarios/relay"
 	"github.com/sycamorecourse/sycamorecourse/standin/duties"
+	"github.com/sycamorecourse/sycamorecourse/standin/operator"
 	"github.com/sycamorecourse/sycamorecourse/standin/replica"
 	"github.com/sycamorecourse/sycamorecourse/standin/rowstore"
 )
@@ -133,18 +133,24 @@
 		return nil, err
 	}
 	w.Upstreams = append(w.Upstreams, u)
-	return u, w.Register(u, "ready")
+	return u, w.Register(u, operator.Ready)
 }
 
 // Register writes the entry of an upstream.
-func (w *World) Register(u *Upstream, state string) error {
-	value, err := json.Marshal(map[string]any{
-		"service": u.Service, "address": u.Relay.Address(), "zone": "z", "slots": 8, "state": state, "sequence": 1,
-	})
-	if err != nil {
+func (w *World) Register(u *Upstream, state operator.State) error {
+	entry := operator.Upstream{
+		ID: u.ID, Service: u.Service, Address: u.Relay.Address(), FailureDomain: "z", Slots: 8, State: state, Sequence: 1,
+	}
+	return w.write(entry.Write)
+}
+
+// write lets the store's duty write, and waits for it.
+func (w *World) write(do func(*rowstore.Store) error) error {
+	var failed error
+	if err := Posted(w.Store, func() { failed = do(w.Store) }); err != nil {
 		return err
 	}
-	return Posted(w.Store, func() { w.Store.Put("servers", u.ID, value) })
+	return failed
 }
 
 // Remove removes the entry of an upstream, which serves on.
@@ -156,7 +162,7 @@
 			break
 		}
 	}
-	return Posted(w.Store, func() { w.Store.Delete("servers", u.ID) })
+	return Posted(w.Store, func() { operator.Remove(w.Store, u.ID) })
 }
 
 // Version is that of the newest configuration.
@@ -166,26 +172,23 @@
 // one more, /vN/.
 func (w *World) Configure() error {
 	w.version++
-	routes := []route{
-		newRoute("/stream/", "streaming", "llm", 2),
-		newRoute("/single/", "streaming", "llm", 1),
-		newRoute("/safe/", "idempotent", "app", 2),
-		newRoute("/once/", "non_idempotent", "app", 1),
-	}
-	routes[0].Resumes = true
+	next := operator.Configuration{
+		Version: w.version,
+		Routes: []operator.Route{
+			newRoute("/stream/", operator.Streaming, "llm", 2),
+			newRoute("/single/", operator.Streaming, "llm", 1),
+			newRoute("/safe/", operator.Idempotent, "app", 2),
+			newRoute("/once/", operator.NonIdempotent, "app", 1),
+		},
+		Services:  []operator.Service{{Name: "llm"}, {Name: "app"}},
+		Limits:    operator.Limits{HeaderBytes: 8000, BodyBytes: 100000, IdleMS: 20000},
+		Customers: []operator.Customer{{Name: Customer, Credentials: []string{Credential}}},
+	}
+	next.Routes[0].Resumes = true
 	for v := range w.version {
-		routes = append(routes, newRoute(fmt.Sprintf("/v%d/", v+1), "idempotent", "app", 2))
-	}
-	value, err := json.Marshal(map[string]any{
-		"version": w.version, "routes": routes,
-		"services": []map[string]any{{"name": "llm"}, {"name": "app"}},
-		"limits":   map[string]any{"max_header_bytes": 8000, "max_body_bytes": 100000, "idle_timeout_ms": 20000},
-		"tenants":  []map[string]any{{"name": Customer, "api_keys": []string{Credential}}},
-	})
-	if err != nil {
-		return err
+		next.Routes = append(next.Routes, newRoute(fmt.Sprintf("/v%d/", v+1), operator.Idempotent, "app", 2))
 	}
-	return Posted(w.Store, func() { w.Store.Put("op", "config", value) })
+	return w.write(next.Write)
 }
 
 // Runs returns what all upstreams have run, those that are gone included.
--- a/standin/replica/run.go
+++ b/standin/replica/run.go
@@ -13,3 +13,9 @@
 	// Target is the path that was asked for.
 	Target string
 }
+
+// Customer is the customer that the system has named.
+func (r Run) Customer() string { return r.Header.Get("Tenant") }
+
+// Credential is the credential that came with it; empty if there was none.
+func (r Run) Credential() string { return r.Header.Get("Credential") }
--- /dev/null
+++ b/standin/requester/doc.go
@@ -0,0 +1,3 @@
+// Package requester writes and reads what callers on the users' platform say to
+// the system.
+package requester
