Release: one version and one command that prints it

Cause: ctl/command and daemon/command each held the version of the programs and the same command to print it; they could have drifted apart at the next release.

Change: `edge/release` holds both; each program gives its name. Output is the same: `sycamored 0.1.0`, `sycamorectl 0.1.0`; the tests of both commands passed.

--- a/ctl/command/register.go
+++ b/ctl/command/register.go
@@ -5,6 +5,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sycamorecourse/sycamorecourse/edge/netlog"
+	"github.com/sycamorecourse/sycamorecourse/edge/release"
 )
 
 // Register adds the commands of sycamorectl to a commander. It also keeps the
@@ -25,5 +26,5 @@
 	commander.Register(&Dump{}, "")
 	commander.Register(&Standin{}, "")
 	commander.Register(&Keys{}, "")
-	commander.Register(&Version{}, "")
+	commander.Register(&release.Version{Program: "sycamorectl"}, "")
 }
--- a/daemon/command/controller.go
+++ b/daemon/command/controller.go
@@ -11,6 +11,7 @@
 	"github.com/sycamorecourse/sycamorecourse/daemon/controller"
 	"github.com/sycamorecourse/sycamorecourse/edge/logs"
 	"github.com/sycamorecourse/sycamorecourse/edge/netlog"
+	"github.com/sycamorecourse/sycamorecourse/edge/release"
 	"github.com/sycamorecourse/sycamorecourse/edge/settings"
 )
 
@@ -52,7 +53,7 @@
 		log = log.Level(level)
 	}
 	netlog.Install(log)
-	role, err := controller.Open(&c.settings, log, Release)
+	role, err := controller.Open(&c.settings, log, release.Release)
 	if err != nil {
 		log.Error().Str("cause", err.Error()).Msg("start_failed")
 		return subcommands.ExitFailure
--- a/daemon/command/entry_gateway.go
+++ b/daemon/command/entry_gateway.go
@@ -12,6 +12,7 @@
 	"github.com/sycamorecourse/sycamorecourse/daemon/entry"
 	"github.com/sycamorecourse/sycamorecourse/edge/logs"
 	"github.com/sycamorecourse/sycamorecourse/edge/netlog"
+	"github.com/sycamorecourse/sycamorecourse/edge/release"
 	"github.com/sycamorecourse/sycamorecourse/edge/settings"
 	"github.com/sycamorecourse/sycamorecourse/platform/boot"
 )
@@ -70,7 +71,7 @@
 	if file.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(file.MemoryBytes)))
 	}
-	role := entry.New(file, log, Release)
+	role := entry.New(file, log, release.Release)
 	role.AddRing(queue.Stats)
 	if err := role.Open(); err != nil {
 		log.Error().Str("cause", err.Error()).Msg("start_failed")
--- a/daemon/command/gateway.go
+++ b/daemon/command/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/sycamorecourse/sycamorecourse/daemon/gateway"
 	"github.com/sycamorecourse/sycamorecourse/edge/logs"
 	"github.com/sycamorecourse/sycamorecourse/edge/netlog"
+	"github.com/sycamorecourse/sycamorecourse/edge/release"
 	"github.com/sycamorecourse/sycamorecourse/edge/settings"
 )
 
@@ -48,7 +49,7 @@
 		log = log.Level(level)
 	}
 	netlog.Install(log)
-	role := gateway.New(&c.settings, log, Release)
+	role := gateway.New(&c.settings, log, release.Release)
 	if err := role.Open(); err != nil {
 		log.Error().Str("cause", err.Error()).Msg("start_failed")
 		return subcommands.ExitFailure
--- a/daemon/command/register.go
+++ b/daemon/command/register.go
@@ -1,6 +1,10 @@
 package command
 
-import "github.com/google/subcommands"
+import (
+	"github.com/google/subcommands"
+
+	"github.com/sycamorecourse/sycamorecourse/edge/release"
+)
 
 // Register adds the commands of sycamored to a commander.
 func Register(commander *subcommands.Commander) {
@@ -11,5 +15,5 @@
 	commander.Register(&Controller{}, "")
 	commander.Register(&EntryGateway{}, "")
 	commander.Register(&Gateway{}, "")
-	commander.Register(&Version{}, "")
+	commander.Register(&release.Version{Program: "sycamored"}, "")
 }
--- /dev/null
+++ b/edge/release/doc.go
@@ -0,0 +1,3 @@
+// Package release holds the version of the programs and the command that prints
+// it.
+package release
--- a/ctl/command/version.go
+++ b/edge/release/version.go
@@ -1,4 +1,4 @@
-package command
+package release
 
 import (
 	"context"
@@ -8,11 +8,11 @@
 	"github.com/google/subcommands"
 )
 
-// Release is the version of the programs.
-const Release = "0.1.0"
-
-// Version prints the version. The zero value works.
-type Version struct{}
+// Version is the command that prints the version of a program.
+type Version struct {
+	// Program is the name of the program.
+	Program string
+}
 
 // Name implements subcommands.Command.
 func (*Version) Name() string { return "version" }
@@ -27,8 +27,8 @@
 func (*Version) SetFlags(*flag.FlagSet) {}
 
 // Execute implements subcommands.Command.
-func (*Version) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if _, err := os.Stdout.WriteString("sycamorectl " + Release + "\n"); err != nil {
+func (v *Version) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if _, err := os.Stdout.WriteString(v.Program + " " + Release + "\n"); err != nil {
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
