Usage: a window is reported once all gateways have told their counts

Change: a window is reported after 4.5 s and once each row was seen to change a heartbeat after its end, or 3 s before the report is due.

--- a/daemon/entry/clusterer_duty.go
+++ b/daemon/entry/clusterer_duty.go
@@ -72,7 +72,7 @@
 	if !c.reports || c.steadyAt == 0 {
 		return
 	}
-	window, ok := c.reporter.Due(c.trueTime(now))
+	window, ok := c.reporter.Due(c.trueTime(now), c.trueTime(c.view.Told())-c.interval())
 	if !ok {
 		c.reportAt = now.Add(reportRetry)
 		return
--- a/serving/cluster/peer.go
+++ b/serving/cluster/peer.go
@@ -7,4 +7,6 @@
 	card    Card
 	former  Card // as read before
 	changed clock.Instant
+	// seen is when the row was seen to change, whatever time has been without reads.
+	seen clock.Instant
 }
--- a/serving/cluster/view.go
+++ b/serving/cluster/view.go
@@ -47,11 +47,11 @@
 		seen[card.Instance] = true
 		p := v.peers[card.Instance]
 		if p == nil {
-			p = &peer{changed: now}
+			p = &peer{changed: now, seen: now}
 			v.peers[card.Instance] = p
 		}
 		if p.card.Sequence != card.Sequence || p.card.Incarnation != card.Incarnation {
-			p.changed = now
+			p.changed, p.seen = now, now
 		}
 		p.former, p.card = p.card, card
 	}
@@ -126,6 +126,17 @@
 	return sum
 }
 
+// Told is the instant up to which all gateways, silent ones included, are known
+// to have told what they counted: when the row that has not changed for the
+// longest time was seen to change. Each was written by then.
+func (v *View) Told() clock.Instant {
+	told := v.read
+	for _, p := range v.peers {
+		told = min(told, p.seen)
+	}
+	return told
+}
+
 // IsCandidate reports whether a gateway is one of the given number that watch the
 // lease of singleton duties: the first live ones by name, so that the calls for
 // it do not grow with the gateways. While no others are known it is one.
--- a/serving/cluster/view_test.go
+++ b/serving/cluster/view_test.go
@@ -56,6 +56,16 @@
 		Expect(v.Count(7)).To(Equal(map[string]uint64{"x": 5, "y": 1}))
 	})
 
+	It("knows up to when all have told their counts, whatever time was without reads", func() {
+		v := cluster.NewView(3*time.Second, 8*time.Second)
+		v.Read([]cluster.Card{{Instance: "a", Sequence: 1}, {Instance: "b", Sequence: 1}}, at(0))
+		Expect(v.Told()).To(Equal(at(0)))
+		v.Read([]cluster.Card{{Instance: "a", Sequence: 2}, {Instance: "b", Sequence: 1}}, at(60*time.Second))
+		Expect(v.Told()).To(Equal(at(0)))
+		v.Read([]cluster.Card{{Instance: "a", Sequence: 3}, {Instance: "b", Sequence: 2}}, at(61*time.Second))
+		Expect(v.Told()).To(Equal(at(61 * time.Second)))
+	})
+
 	It("names a few candidates, and others when those fall silent", func() {
 		v := cluster.NewView(2*time.Second, 2*time.Second)
 		card := func(name string, sequence int) cluster.Card {
--- a/serving/usage/usage_test.go
+++ b/serving/usage/usage_test.go
@@ -23,7 +23,7 @@
 		r := usage.NewReporter(window, 2*time.Second, 10*time.Second)
 		var reported []int64
 		for at := unix; at < unix+20*time.Second; at += 100 * time.Millisecond {
-			if w, ok := r.Due(at); ok {
+			if w, ok := r.Due(at, at); ok {
 				Expect(time.Duration(w+1) * window).To(BeNumerically("<=", at-2*time.Second))
 				reported = append(reported, w)
 				r.Done(w)
@@ -37,12 +37,31 @@
 
 	It("begins, as a new holder, with what may not have been reported", func() {
 		r := usage.NewReporter(window, 2*time.Second, 10*time.Second)
-		w, ok := r.Due(unix + 3*time.Second)
+		w, ok := r.Due(unix+3*time.Second, unix+3*time.Second)
 		Expect(ok).To(BeTrue())
 		Expect(w).To(Equal(int64(1_000_000 - 3)))
 	})
 })
 
+var _ = Describe("Reporter whose processes are silent", func() {
+	const window = 5 * time.Second
+	unix := 1_000_000 * window
+
+	It("waits for what they have counted, and no longer than the limit lets it", func() {
+		r := usage.NewReporter(window, 2*time.Second, 10*time.Second)
+		for w, ok := r.Due(unix, unix); ok; w, ok = r.Due(unix, unix) {
+			r.Done(w)
+		}
+		_, ok := r.Due(unix+4*time.Second, unix-time.Second)
+		Expect(ok).To(BeFalse())
+		w, ok := r.Due(unix+4*time.Second, unix)
+		Expect(ok).To(BeTrue())
+		Expect(w).To(Equal(int64(999_999)))
+		_, ok = r.Due(unix+7*time.Second, unix-time.Second)
+		Expect(ok).To(BeTrue())
+	})
+})
+
 var _ = Describe("Tally", func() {
 	It("adds up by window and forgets what is long past", func() {
 		t := usage.NewTally(5 * time.Second)
