Membership: silence counts from when a row was written, and is bounded

Cause: 43 gateways write every 2.15 s; a row was silent 2.3 heartbeats after the read that saw its last change, found by a read later still: up to 9.5 s. With more gateways (3 s) it would have broken each time.

Change: a row holds the store's clock of its writing; silence counts from there, never from before the read before. A first read trusts that only if somebody has written lately. Heartbeats 1.8 s at most (3 s before), silence 3.6 s at most. What holds parts of limits goes on counting from the read.

Tests: view_test, two new, both failed with the former view.

Beyond about 350 gateways the rows need partitions (docs/CAPACITY.md).

--- a/daemon/entry/clusterer.go
+++ b/daemon/entry/clusterer.go
@@ -31,10 +31,13 @@
 	// so that the writes of all together stay bounded.
 	heartbeatEach = 50 * time.Millisecond
 	// longestHeartbeat bounds the time between two writes.
-	longestHeartbeat = 3 * time.Second
+	longestHeartbeat = 1800 * time.Millisecond
 	// silentBeats is the number of heartbeats for which a row may stay as it is
 	// until callers are not told of its gateway any more.
 	silentBeats = 2.3
+	// longestSilence bounds that time: callers are told of no gateway for longer
+	// than that and a heartbeat after it has gone.
+	longestSilence = 3600 * time.Millisecond
 	// holdLimit is how long a gateway keeps its part of the customers' limits
 	// without a change of its row.
 	holdLimit = 8 * time.Second
--- a/daemon/entry/clusterer_cards.go
+++ b/daemon/entry/clusterer_cards.go
@@ -21,6 +21,7 @@
 	}
 	c.card.Sequence++
 	c.card.Windows = windowsOf(c.tally)
+	c.card.At = c.storeAt + now.Sub(c.steadyAt)
 	value, err := c.card.Encode()
 	if err != nil {
 		c.log.Error().Str("cause", err.Error()).Msg("card_not_encoded")
@@ -84,9 +85,12 @@
 			c.log.Warn().Str("cause", err.Error()).Msg("row_ignored")
 			continue
 		}
+		if card.At != 0 {
+			card.Age = max(m.page.Clock-card.At, 0)
+		}
 		cards = append(cards, card)
 	}
-	c.view.SetSilence(time.Duration(silentBeats*float64(c.interval())), holdLimit)
+	c.view.SetSilence(min(time.Duration(silentBeats*float64(c.interval())), longestSilence), holdLimit)
 	c.view.Read(cards, now)
 	if !c.readOnce {
 		c.readOnce = true
--- a/serving/cluster/card.go
+++ b/serving/cluster/card.go
@@ -28,4 +28,10 @@
 	Demand map[string]float64 `cbor:"9,keyasint,omitempty"`
 	// Loads are what the gateway asks of each service.
 	Loads map[string]scale.Load `cbor:"10,keyasint,omitempty"`
+	// At is the store's clock when the row was written, as its gateway knew it; 0
+	// if it did not.
+	At time.Duration `cbor:"11,keyasint,omitempty"`
+	// Age is how long ago the row was written when it was read. It is not part of
+	// the row.
+	Age time.Duration `cbor:"-"`
 }
--- a/serving/cluster/view.go
+++ b/serving/cluster/view.go
@@ -34,26 +34,39 @@
 
 // Read takes all rows as read at an instant.
 func (v *View) Read(cards []Card, now clock.Instant) {
+	former := v.read
 	// Time in which no read succeeded is not held against anybody.
 	if gap := now.Sub(v.read); v.read != 0 && gap >= v.silence {
 		for _, p := range v.peers {
-			p.changed = p.changed.Add(gap)
+			p.changed, p.written = p.changed.Add(gap), p.written.Add(gap)
 		}
+		former = now
 	}
 	v.returned = v.read != 0 && v.IsStale(now)
 	v.read = now
+	// After an outage all rows are old, which says nothing of their gateways.
+	isInUse := false
+	for _, card := range cards {
+		isInUse = isInUse || card.Age < v.silence/2
+	}
 	seen := make(map[string]bool, len(cards))
 	for _, card := range cards {
 		seen[card.Instance] = true
 		p := v.peers[card.Instance]
-		if p == nil {
-			p = &peer{changed: now, seen: now}
+		isNew := p == nil
+		if isNew {
+			p = &peer{changed: now, seen: now, written: now}
+			if isInUse {
+				p.written = now.Add(-card.Age)
+			}
 			v.peers[card.Instance] = p
 		}
-		if p.card.Sequence != card.Sequence || p.card.Incarnation != card.Incarnation {
+		p.former, p.card = p.card, card
+		if !isNew && (p.former.Sequence != card.Sequence || p.former.Incarnation != card.Incarnation) {
 			p.changed, p.seen = now, now
+			// It was written since the read before.
+			p.written = max(now.Add(-card.Age), former)
 		}
-		p.former, p.card = p.card, card
 	}
 	for name := range v.peers {
 		if !seen[name] {
@@ -64,18 +77,19 @@
 
 // Live returns the gateways that write their rows, ordered by name.
 func (v *View) Live() []Card {
-	return v.within(v.silence)
+	return v.list(func(p *peer) bool { return v.read.Sub(p.written) < v.silence })
 }
 
 // Holders returns the gateways that keep a part of what is divided.
 func (v *View) Holders() []Card {
-	return v.within(v.hold)
+	return v.list(func(p *peer) bool { return v.read.Sub(p.changed) < v.hold })
 }
 
-func (v *View) within(silence time.Duration) []Card {
+// list returns the rows of some gateways, ordered by name.
+func (v *View) list(has func(*peer) bool) []Card {
 	var list []Card
 	for _, p := range v.peers {
-		if v.read.Sub(p.changed) < silence {
+		if has(p) {
 			list = append(list, p.card)
 		}
 	}
--- a/serving/cluster/view_test.go
+++ b/serving/cluster/view_test.go
@@ -35,6 +35,27 @@
 		Expect(names(v.Live())).To(Equal([]string{"a"}))
 	})
 
+	It("counts the silence from when a row was written, which is after the read before", func() {
+		v := cluster.NewView(3*time.Second, 8*time.Second)
+		v.Read([]cluster.Card{{Instance: "a", Sequence: 1}, {Instance: "b", Sequence: 1}}, at(0))
+		v.Read([]cluster.Card{{Instance: "a", Sequence: 2}, {Instance: "b", Sequence: 2, Age: 1800 * time.Millisecond}}, at(2*time.Second))
+		v.Read([]cluster.Card{{Instance: "a", Sequence: 3}, {Instance: "b", Sequence: 2, Age: 3100 * time.Millisecond}}, at(3300*time.Millisecond))
+		Expect(names(v.Live())).To(Equal([]string{"a"}))
+		v.Read([]cluster.Card{{Instance: "a", Sequence: 4}, {Instance: "b", Sequence: 3, Age: time.Minute}}, at(4*time.Second))
+		Expect(names(v.Live())).To(Equal([]string{"a", "b"}))
+		v.Read([]cluster.Card{{Instance: "a", Sequence: 5}, {Instance: "b", Sequence: 4, Age: 9 * time.Second}}, at(14*time.Second))
+		Expect(names(v.Live())).To(Equal([]string{"a", "b"}))
+	})
+
+	It("does not name, at its first read, a gateway that has not written for long, unless nobody has", func() {
+		v := cluster.NewView(3*time.Second, 8*time.Second)
+		v.Read([]cluster.Card{{Instance: "a", Sequence: 1, Age: time.Second}, {Instance: "b", Sequence: 1, Age: 4 * time.Second}}, at(0))
+		Expect(names(v.Live())).To(Equal([]string{"a"}))
+		v = cluster.NewView(3*time.Second, 8*time.Second)
+		v.Read([]cluster.Card{{Instance: "a", Sequence: 1, Age: 5 * time.Second}, {Instance: "b", Sequence: 1, Age: 4 * time.Second}}, at(0))
+		Expect(names(v.Live())).To(Equal([]string{"a", "b"}))
+	})
+
 	It("takes nobody for dead for time in which nothing could be read", func() {
 		v := cluster.NewView(3*time.Second, 3*time.Second)
 		cards := []cluster.Card{{Instance: "a", Sequence: 1}, {Instance: "b", Sequence: 1}}
