Drain: nothing is sent to an upstream after the last look at what is open

Cause, read from the code and the trace: the drain ends when dispatch says that nothing is open; a request that arrives between that answer and the end of the process was sent on all the same.

Change: when the drain may end and nothing is open, dispatch refuses whatever comes later, in the same step.

Tests: proof/entry passes.

--- a/daemon/entry/dispatcher.go
+++ b/daemon/entry/dispatcher.go
@@ -92,7 +92,11 @@
 	case stopTaking:
 		d.core.Leave(m.until)
 	case askOpen:
-		_ = m.reply.Offer(d.core.Open())
+		open := d.core.Open()
+		if m.isLast && open == 0 {
+			d.core.Leave(now)
+		}
+		_ = m.reply.Offer(open)
 	case dumpDispatch:
 		_ = m.reply.Offer(report.Section{Name: "dispatch", State: d.core.Snapshot(now)})
 	}
--- a/daemon/entry/drain.go
+++ b/daemon/entry/drain.go
@@ -55,7 +55,7 @@
 			takes = false
 			offerOr(d.dispatch, dispatchMessage(stopTaking{until: start.Add(d.limit - stopMargin)}), d.log)
 		}
-		open := d.open()
+		open := d.open(passed >= leastStop)
 		switch {
 		case isForced, passed >= d.limit-stopMargin:
 			if open == 0 {
@@ -69,10 +69,11 @@
 	}
 }
 
-// open is the number of requests in progress, -1 if dispatch does not say.
-func (d *drain) open() int {
+// open is the number of requests in progress, -1 if dispatch does not say. After
+// the last time that there is none, nothing is sent to an upstream any more.
+func (d *drain) open(isLast bool) int {
 	reply := ring.New[int]("open", 1)
-	if d.dispatch.Offer(askOpen{reply: reply}) != nil {
+	if d.dispatch.Offer(askOpen{reply: reply, isLast: isLast}) != nil {
 		return -1
 	}
 	open, ok, err := reply.TakeUntil(time.Second)
