scale: hold mostly reclaimable upstreams, grow in proportion, take the observed rate of reading

The planner kept 0.75 on-demand upstreams for each required one although reclaimable ones cost a fifth, counted 50,000 prompt tokens a second for an engine that reads 112,000, and let its estimate grow by 3 upstreams at a time, also with 58 of them, so that a burst on a large service was followed over many boot times.

Change: 0.35 on-demand and 1.8 reclaimable upstreams for each required one; reclaimable ones that are about to leave are made up for by on-demand ones at once, as before. Growth is bounded by half of what exists. A new lease holder starts from both kinds. Reclaimable orders come first, as they may have to make room for on-demand ones.

Specs: two counted on-demand upstreams alone, of which there is now the least number in both states; they count both kinds. Four are new; the one on growth fails before.

--- a/serving/scale/capacity_estimate.go
+++ b/serving/scale/capacity_estimate.go
@@ -11,8 +11,10 @@
 	// reclaimableShortage is the fraction of the wanted reclaimable upstreams below
 	// which the estimate does not fall.
 	reclaimableShortage = 0.75
-	// maxGrowth bounds the estimate to this many more upstreams than exist.
-	maxGrowth = 3
+	// minGrowth and growthFraction bound the estimate to this many more upstreams
+	// than exist, or this fraction more where that is larger.
+	minGrowth      = 3
+	growthFraction = 0.5
 	// settleTime is how long the number of upstreams must stay the same after a start
 	// until all of them are taken to have registered.
 	settleTime = 3 * time.Second
@@ -37,6 +39,9 @@
 // capacityEstimate estimates how many upstreams a service requires. It rises at
 // once and falls in steps.
 type capacityEstimate struct {
+	// readRate is the rate, in tokens per second, at which one upstream reads
+	// prompts.
+	readRate float64
 	required int
 	// lastHigh is when the load last required that many. scaleDownDelay counts from
 	// it, so it is also shifted to hold the estimate after the first load and to
@@ -60,11 +65,13 @@
 		return
 	}
 	if !e.hasLoad {
-		e.startLoad(onDemand, now)
+		e.startLoad(onDemand, reclaimable, now)
 	}
 	// The growth is bounded because an overload inflates the load: requests are read
 	// again.
-	required := min(load.requiredUpstreams(slots), max(e.required, onDemand+reclaimable+maxGrowth))
+	existing := onDemand + reclaimable
+	growth := max(minGrowth, int(growthFraction*float64(existing)))
+	required := min(load.requiredUpstreams(slots, e.readRate), max(e.required, existing+growth))
 	switch {
 	case required >= e.required:
 		e.required, e.lastHigh = required, now
@@ -77,11 +84,12 @@
 }
 
 // startLoad notes the first load. A planner that saw no upstreams before any load
-// has taken over from another lease holder, so the estimate starts from the
-// on-demand upstreams that the former holder ordered.
-func (e *capacityEstimate) startLoad(onDemand int, now clock.Instant) {
+// has taken over from another lease holder, so the estimate starts from what the
+// former holder ordered: on-demand upstreams in their usual ratio or, while
+// reclaimable ones are short, as many of both as are required.
+func (e *capacityEstimate) startLoad(onDemand, reclaimable int, now clock.Instant) {
 	if e.initial == 0 {
-		e.required = int(math.Ceil(float64(onDemand) / onDemandRatio))
+		e.required = min(int(float64(onDemand)/onDemandRatio), onDemand+reclaimable)
 	}
 	e.hasLoad, e.lastHigh = true, now.Add(warmupTime-scaleDownDelay)
 }
--- a/serving/scale/load.go
+++ b/serving/scale/load.go
@@ -9,8 +9,9 @@
 	// squareRootMargin is the number of upstreams added per square root of the work:
 	// in a small group, random imbalance loads some much more than others.
 	squareRootMargin = 1.2
-	// promptTokensPerSecond is the rate at which one upstream reads prompt tokens.
-	promptTokensPerSecond = 50_000
+	// defaultReadRate is the rate, in tokens per second, at which one upstream reads
+	// prompts, until it is known.
+	defaultReadRate = 50_000.0
 )
 
 // Load is the load on a service, from one gateway or from several.
@@ -27,10 +28,10 @@
 	l.PromptTokenRate += other.PromptTokenRate
 }
 
-// requiredUpstreams returns the number of upstreams with the given slots that the
-// load requires, at least one.
-func (l Load) requiredUpstreams(slots int) int {
+// requiredUpstreams returns the number of upstreams with the given slots and rate
+// of reading, in tokens per second, that the load requires. It is at least one.
+func (l Load) requiredUpstreams(slots int, readRate float64) int {
 	// work is the number of upstreams that the load would keep fully busy.
-	work := max(l.Open/float64(max(slots, 1)), l.PromptTokenRate/promptTokensPerSecond)
+	work := max(l.Open/float64(max(slots, 1)), l.PromptTokenRate/readRate)
 	return int(math.Ceil(max(work/targetUtilization+squareRootMargin*math.Sqrt(work), 1)))
 }
--- a/serving/scale/planner.go
+++ b/serving/scale/planner.go
@@ -8,12 +8,13 @@
 )
 
 const (
-	// onDemandRatio is the number of on-demand upstreams per required upstream.
-	onDemandRatio = 0.75
+	// onDemandRatio is the number of on-demand upstreams per required upstream while
+	// there are enough reclaimable ones.
+	onDemandRatio = 0.35
 	// minOnDemand is the least number of on-demand upstreams in a failure domain.
 	minOnDemand = 1
 	// reclaimableRatio is the number of reclaimable upstreams per required upstream.
-	reclaimableRatio = 1.2
+	reclaimableRatio = 1.8
 	// bootGrace is the time beyond the boot time of a service after which an order
 	// that has not been fulfilled is repeated.
 	bootGrace = 3 * time.Second
@@ -58,20 +59,29 @@
 		// exist or are wanted leave less room for reclaimable ones.
 		reclaimable := max(min(evenPart(reclaimableRatio*float64(e.required), 0, len(domains)), s.Autoscaling.Max-max(onDemand, have[onDemandKey])), 0)
 		reclaimableTotal += reclaimable
+		// Reclaimable upstreams come first, as they may have to make room.
+		due = p.appendIfDue(due, reclaimableKey, reclaimable, have[reclaimableKey], e.required, load, s, now)
 		if e.isSettled(now) {
 			due = p.appendIfDue(due, onDemandKey, onDemand, have[onDemandKey], e.required, load, s, now)
 		}
-		due = p.appendIfDue(due, reclaimableKey, reclaimable, have[reclaimableKey], e.required, load, s, now)
 	}
 	e.reclaimableTarget = reclaimableTotal
 	return due
 }
 
+// SetReadRate sets the rate, in tokens per second, at which one upstream of a
+// service was observed to read prompts. A rate of 0 is unknown and ignored.
+func (p *Planner) SetReadRate(service string, rate float64) {
+	if rate > 0 {
+		p.estimate(service).readRate = rate
+	}
+}
+
 // estimate returns the capacity estimate of a service, creating it if needed.
 func (p *Planner) estimate(service string) *capacityEstimate {
 	e := p.estimates[service]
 	if e == nil {
-		e = &capacityEstimate{}
+		e = &capacityEstimate{readRate: defaultReadRate}
 		p.estimates[service] = e
 	}
 	return e
--- a/serving/scale/planner_test.go
+++ b/serving/scale/planner_test.go
@@ -123,22 +123,24 @@
 	})
 
 	It("does not scale down at once as a new lease holder, while the gateways may have just started", func() {
-		run(scale.Load{Open: 60, PromptTokenRate: 150_000}, 60)
-		before := m.total(false)
+		run(scale.Load{Open: 60, PromptTokenRate: 300_000}, 60)
+		before, reclaimable := m.total(false), m.total(true)
 		p = scale.NewPlanner()
 		run(scale.Load{Open: 2, PromptTokenRate: 3_000}, 4)
 		Expect(m.total(false)).To(Equal(before))
+		Expect(m.total(true)).To(Equal(reclaimable))
 		run(scale.Load{Open: 2, PromptTokenRate: 3_000}, 60)
 		Expect(m.total(false)).To(BeNumerically("<", before))
+		Expect(m.total(true)).To(BeNumerically("<", reclaimable))
 	})
 
 	It("does not scale down during the warm-up after the first load", func() {
 		run(scale.Load{}, 10)
-		before := m.total(false)
+		before := m.total(false) + m.total(true)
 		run(scale.Load{Open: 4, PromptTokenRate: 20_000}, 7)
-		Expect(m.total(false)).To(Equal(before))
+		Expect(m.total(false) + m.total(true)).To(Equal(before))
 		run(scale.Load{Open: 4, PromptTokenRate: 20_000}, 60)
-		Expect(m.total(false)).To(BeNumerically("<", before))
+		Expect(m.total(false) + m.total(true)).To(BeNumerically("<", before))
 	})
 
 	It("does not scale on-demand upstreams down while reclaimable ones are short", func() {
@@ -169,6 +171,57 @@
 		Expect(m.counts["x/reclaimable"]).To(Equal(had))
 	})
 
+	It("carries the load mostly on reclaimable upstreams", func() {
+		run(scale.Load{Open: 40, PromptTokenRate: 200_000}, 60)
+		Expect(m.total(true)).To(BeNumerically(">", 2*m.total(false)))
+	})
+
+	It("replaces reclaimable upstreams by on-demand ones as soon as they are about to leave", func() {
+		load := scale.Load{Open: 40, PromptTokenRate: 200_000}
+		run(load, 60)
+		before, leaving := m.total(false)+m.total(true), m.counts["x/reclaimable"]+m.counts["y/reclaimable"]
+		m.dry = true
+		upstreams := m.upstreams()
+		for _, u := range upstreams {
+			u.Draining = u.Reclaimable && u.FailureDomain != "z"
+		}
+		now = now.Add(time.Second)
+		ordered := 0
+		for _, o := range p.Plan(service, upstreams, load, now) {
+			if !o.Reclaimable {
+				ordered += o.Count - o.Have
+			}
+		}
+		Expect(before-leaving+ordered).To(BeNumerically(">=", 6), "for a load that keeps four busy")
+	})
+
+	It("needs fewer upstreams if they read faster", func() {
+		load := scale.Load{Open: 40, PromptTokenRate: 120_000}
+		run(load, 60)
+		before := m.total(true)
+		p.SetReadRate("s", 110_000)
+		run(load, 60)
+		Expect(m.total(true)).To(BeNumerically("<=", before*3/4))
+	})
+
+	It("grows by a fraction of what exists, so that a large service follows a burst", func() {
+		m.counts = map[string]int{"x": 40, "y": 40, "z": 40}
+		large := *service
+		scaling := *service.Autoscaling
+		scaling.Max = 100
+		large.Autoscaling = &scaling
+		step := func(load scale.Load) (ordered int) {
+			now = now.Add(time.Second)
+			for _, o := range p.Plan(&large, m.upstreams(), load, now) {
+				ordered += o.Count - o.Have
+			}
+			return ordered
+		}
+		step(scale.Load{})
+		now = now.Add(time.Minute)
+		Expect(step(scale.Load{Open: 4000, PromptTokenRate: 6_000_000})).To(BeNumerically(">=", 60))
+	})
+
 	It("places no orders for a service without scaling", func() {
 		Expect(p.Plan(&catalog.Service{Name: "s"}, m.upstreams(), scale.Load{Open: 1}, now)).To(BeEmpty())
 	})
