relay: limits over many gateways by their common use; engines' speed is observed

Cause: a customer's limit was divided among the gateways.

Change: gateways publish what each customer used of its limit in the window and its demand over the last second. What a gateway's bucket does not hold is admitted from what all together leave unused: each admits the same fraction of its requests, 1 while the limit can't be exceeded before all have read of it. Gateways that publish nothing count with an even share. A restarted process takes over its former use. While use may be unknown, only customers far below their limit profit.

Weighed: blocks of a limit in the store (a write for nearly each request of a small customer), an owner for each customer over links (a wait on the path of a request), shares by demand alone (as before). See docs/DESIGN.md.

The times to the first event now give the engines' base and time for a token, in place of constants of one engine; a table of engines that it knows nothing of is in engine_speed_test.go.

--- a/serving/cluster/peer.go
+++ b/serving/cluster/peer.go
@@ -12,6 +12,7 @@
 	// writtenAt is the best estimate of when the record was written, moved forward
 	// in the same way.
 	writtenAt clock.Instant
-	// changeSeenAt is when the record was last seen to change. It is never moved.
-	changeSeenAt clock.Instant
+	// publishedAt is when the record was written by its writer's clock, or first seen
+	// if that is not known. It is never moved.
+	publishedAt clock.Instant
 }
--- a/serving/cluster/record.go
+++ b/serving/cluster/record.go
@@ -33,6 +33,13 @@
 	// WrittenAt is the writer's estimate of the store's clock at the write, or 0 if
 	// it had none.
 	WrittenAt time.Duration `cbor:"11,keyasint,omitempty" json:"At"`
+	// Used is what each customer used of its limit at this gateway in the window
+	// over which limits are counted, up to the write.
+	Used map[string]float64 `cbor:"12,keyasint,omitempty"`
+	// RecentDemand is the demand of each customer over a shorter time than Demand.
+	RecentDemand map[string]float64 `cbor:"13,keyasint,omitempty"`
+	// PeerAddress is where other gateways poll for news; empty if they can't.
+	PeerAddress string `cbor:"14,keyasint,omitempty"`
 	// Age is the time from the write to the read, by the store's clock. The reader
 	// sets it; it is not stored.
 	Age time.Duration `cbor:"-"`
--- a/serving/cluster/view.go
+++ b/serving/cluster/view.go
@@ -15,8 +15,6 @@
 	shareTimeout time.Duration
 	peers        map[string]*peer
 	lastRead     clock.Instant // 0 before the first read
-	// wasStale reports that the view was stale when the last read came.
-	wasStale bool
 }
 
 // NewView makes an empty view. A gateway is live until liveTimeout after the last
@@ -43,7 +41,6 @@
 		}
 		previousRead = now
 	}
-	v.wasStale = v.lastRead != 0 && v.IsStale(now)
 	v.lastRead = now
 	// After an outage of the store all records are old, so their age says nothing
 	// about the gateways.
@@ -57,7 +54,7 @@
 		p := v.peers[record.Instance]
 		isNew := p == nil
 		if isNew {
-			p = &peer{changedAt: now, changeSeenAt: now, writtenAt: now}
+			p = &peer{changedAt: now, publishedAt: now.Add(-record.Age), writtenAt: now}
 			if anyRecent {
 				p.writtenAt = now.Add(-record.Age)
 			}
@@ -65,7 +62,7 @@
 		}
 		p.previous, p.record = p.record, record
 		if !isNew && (p.previous.Sequence != record.Sequence || p.previous.Incarnation != record.Incarnation) {
-			p.changedAt, p.changeSeenAt = now, now
+			p.changedAt, p.publishedAt = now, now.Add(-record.Age)
 			// The record changed, so it was written after the previous read.
 			p.writtenAt = max(now.Add(-record.Age), previousRead)
 		}
@@ -85,7 +82,12 @@
 // ShareHolders returns the records of the gateways among which limits and budgets
 // are divided, ordered by name.
 func (v *View) ShareHolders() []Record {
-	return v.list(func(p *peer) bool { return v.lastRead.Sub(p.changedAt) < v.shareTimeout })
+	return v.list(v.holdsShare)
+}
+
+// holdsShare reports whether a gateway has a part of limits and budgets.
+func (v *View) holdsShare(p *peer) bool {
+	return v.lastRead.Sub(p.changedAt) < v.shareTimeout
 }
 
 // list returns the records of the peers that keep selects, ordered by name.
@@ -146,13 +148,12 @@
 }
 
 // CountsPublishedUntil returns the instant by which every gateway, silent ones
-// included, is known to have published its counts: the earliest time at which a
-// record was last seen to change. Each record was written somewhat before it was
-// seen, for which the caller has to allow.
+// included, is known to have published its counts: the earliest time at which one of
+// the present records was written.
 func (v *View) CountsPublishedUntil() clock.Instant {
 	until := v.lastRead
 	for _, p := range v.peers {
-		until = min(until, p.changeSeenAt)
+		until = min(until, p.publishedAt)
 	}
 	return until
 }
@@ -203,20 +204,24 @@
 // capped at that of the previous heartbeat, since the others read it with that
 // delay: otherwise the shares would exceed the limit while demand rises.
 func (v *View) Shares(self string) map[string]float64 {
-	holders := v.ShareHolders()
+	holders := 0
 	totals := make(map[string]float64)
 	own := make(map[string]float64)
-	for _, record := range holders {
-		for customer, demand := range record.Demand {
-			if record.Instance == self {
-				demand = min(demand, v.peers[self].previous.Demand[customer])
+	for name, p := range v.peers {
+		if !v.holdsShare(p) {
+			continue
+		}
+		holders++
+		for customer, demand := range p.record.Demand {
+			if name == self {
+				demand = min(demand, p.previous.Demand[customer])
 				own[customer] = demand
 			}
 			totals[customer] += demand
 		}
 	}
 	shares := make(map[string]float64, len(totals))
-	even := 1 / float64(max(len(holders), 1))
+	even := 1 / float64(max(holders, 1))
 	for customer, total := range totals {
 		if total <= 0 {
 			continue
@@ -230,10 +235,31 @@
 // part, since the others may have taken it over, but not to zero: usually the
 // store is unavailable to all gateways, and they keep the former division.
 func (v *View) Divide(self string, now clock.Instant) Division {
+	currentFor := time.Duration(currentFraction * float64(v.liveTimeout))
 	d := Division{
-		Gateways: max(len(v.ShareHolders()), 1), Shares: v.Shares(self), Demand: v.totalDemand(),
-		Stale: v.IsStale(now), WasStale: v.wasStale,
+		Shares:               v.Shares(self),
+		RecentDemandOfOthers: make(map[string]float64),
+		UsedByOthers:         make(map[string]float64),
+		UsedBySilent:         make(map[string]float64),
+		CurrentUntil:         v.lastRead.Add(currentFor),
+		Stale:                v.IsStale(now),
+	}
+	for name, p := range v.peers {
+		if !v.holdsShare(p) {
+			continue
+		}
+		d.Gateways++
+		switch {
+		case name == self:
+		case v.lastRead.Sub(p.changedAt) >= currentFor:
+			d.Silent++
+			addAmounts(d.UsedBySilent, p.record.Used)
+		default:
+			addAmounts(d.UsedByOthers, p.record.Used)
+			addAmounts(d.RecentDemandOfOthers, p.record.RecentDemand)
+		}
 	}
+	d.Gateways = max(d.Gateways, 1)
 	if d.Stale {
 		for customer := range d.Shares {
 			d.Shares[customer] *= staleShareFactor
@@ -243,15 +269,11 @@
 	return d
 }
 
-// totalDemand sums the demand of each customer over all share holders.
-func (v *View) totalDemand() map[string]float64 {
-	sum := make(map[string]float64)
-	for _, record := range v.ShareHolders() {
-		for customer, demand := range record.Demand {
-			sum[customer] += demand
-		}
+// addAmounts adds an amount of each customer to a sum.
+func addAmounts(sum, amounts map[string]float64) {
+	for customer, amount := range amounts {
+		sum[customer] += amount
 	}
-	return sum
 }
 
 // IsStale reports whether the records were last read so long ago that the others
@@ -263,6 +285,10 @@
 const (
 	// evenFraction is the fraction of a limit that is divided evenly.
 	evenFraction = 0.4
+	// currentFraction is the fraction of the live timeout for which the use and demand
+	// of the other gateways are current after a read. It exceeds the time between two
+	// reads.
+	currentFraction = 0.7
 	// staleFraction is the fraction of the share timeout after which a view without
 	// a successful read is stale.
 	staleFraction = 0.75
--- a/serving/cluster/view_test.go
+++ b/serving/cluster/view_test.go
@@ -87,6 +87,29 @@
 		Expect(v.CountsPublishedUntil()).To(Equal(at(61 * time.Second)))
 	})
 
+	It("takes counts as published only up to the write of the record that holds them", func() {
+		v := cluster.NewView(3*time.Second, 8*time.Second)
+		v.Update([]cluster.Record{{Instance: "a", Sequence: 1}, {Instance: "b", Sequence: 1}}, at(0))
+		v.Update([]cluster.Record{{Instance: "a", Sequence: 2}, {Instance: "b", Sequence: 2, Age: 1500 * time.Millisecond}}, at(2*time.Second))
+		Expect(v.CountsPublishedUntil()).To(Equal(at(500 * time.Millisecond)))
+	})
+
+	It("keeps what silent gateways used apart from what the others use now", func() {
+		v := cluster.NewView(3*time.Second, 8*time.Second)
+		use := func(name string, sequence uint64, used float64) cluster.Record {
+			amounts := map[string]float64{"x": used}
+			return cluster.Record{Instance: name, Sequence: sequence, Used: amounts, RecentDemand: amounts}
+		}
+		v.Update([]cluster.Record{use("a", 1, 1), use("b", 1, 10), use("c", 1, 100)}, at(0))
+		v.Update([]cluster.Record{use("a", 2, 2), use("b", 2, 20), use("c", 1, 100)}, at(2500*time.Millisecond))
+		d := v.Divide("a", at(2500*time.Millisecond))
+		Expect(d.Gateways).To(Equal(3))
+		Expect(d.UsedByOthers).To(Equal(map[string]float64{"x": 20}))
+		Expect(d.RecentDemandOfOthers).To(Equal(map[string]float64{"x": 20}))
+		Expect(d.Silent).To(Equal(1))
+		Expect(d.UsedBySilent).To(Equal(map[string]float64{"x": 100}))
+	})
+
 	It("replaces a lease candidate that is no longer live", func() {
 		v := cluster.NewView(2*time.Second, 2*time.Second)
 		record := func(name string, sequence int) cluster.Record {
--- a/serving/relay/attempt.go
+++ b/serving/relay/attempt.go
@@ -14,5 +14,6 @@
 	hasEvent     bool
 	body         []byte
 	predicted    prediction
+	hasPrompt    bool
 	priority     int
 }
--- a/serving/relay/core.go
+++ b/serving/relay/core.go
@@ -20,10 +20,15 @@
 	division cluster.Division
 	// divisionKnown is set once SetDivision was called.
 	divisionKnown bool
-	// headroomFrom is when the demand of customers will have been known for a whole
-	// LimitWindow. Until then no customer has headroom.
-	headroomFrom clock.Instant
-	demands      map[string]*demand
+	// settledFrom is when all use of which this gateway may not know, from before its
+	// start or from a time in which it missed the records of the others, has left the
+	// LimitWindow.
+	settledFrom clock.Instant
+	// demands and recentDemands hold the demand of each customer with a limit.
+	demands, recentDemands map[string]*demand
+	// inheritedUse is what a former process of this gateway used of the limits of
+	// customers that have no limiter yet.
+	inheritedUse map[string]float64
 	gateways     int
 	// drainUntil is when the drain of this gateway ends; 0 if it is not draining.
 	drainUntil clock.Instant
@@ -57,8 +62,11 @@
 		pools:    make(map[string]*pool),
 		requests: make(map[Handle]*requestState),
 		limiters: make(map[string]*limiter),
-		demands:  make(map[string]*demand),
 		gateways: gateways,
+
+		demands:       make(map[string]*demand),
+		recentDemands: make(map[string]*demand),
+		inheritedUse:  make(map[string]float64),
 	}
 }
 
@@ -114,8 +122,8 @@
 // SetDivision sets the number of gateways and this gateway's shares of the
 // customers' limits.
 func (c *Core) SetDivision(d cluster.Division, now clock.Instant) {
-	if !c.divisionKnown || d.WasStale {
-		c.headroomFrom = now.Add(c.config.LimitWindow)
+	if wasCurrent := now.Before(c.division.CurrentUntil); !wasCurrent {
+		c.settledFrom = now.Add(c.config.LimitWindow)
 	}
 	c.divisionKnown = true
 	c.gateways, c.division = max(d.Gateways, 1), d
@@ -127,14 +135,6 @@
 	}
 }
 
-// hasHeadroom reports whether a customer is known to be far below its limit over
-// all gateways. That is not known while the demand at the other gateways can't be
-// read, nor in the first LimitWindow after a start or after such an outage.
-func (c *Core) hasHeadroom(l *limiter, customer *catalog.Customer, now clock.Instant) bool {
-	isKnown := c.divisionKnown && !c.division.Stale && !now.Before(c.headroomFrom)
-	return isKnown && l.hasHeadroom(l.utilization(c.division.Demand[customer.Name], customer))
-}
-
 // Drain makes the Core refuse requests that may not end by an instant, when this
 // gateway stops.
 func (c *Core) Drain(until clock.Instant) {
--- a/serving/relay/core_arrive.go
+++ b/serving/relay/core_arrive.go
@@ -121,27 +121,41 @@
 	return ""
 }
 
-// charge takes the cost of a request from its customer's limit. If the limit is
-// exceeded, it returns false and the time until the request would be admitted.
+// charge takes the cost of a request from its customer's limit: from this gateway's
+// share, or from what the gateways together leave unused. If the limit is exceeded,
+// it returns false and the time after which the caller should try again.
 func (c *Core) charge(s *requestState, now clock.Instant) (time.Duration, bool) {
 	if s.customer == nil || s.customer.Rate <= 0 {
 		return 0, true
 	}
-	d := c.demands[s.customer.Name]
-	if d == nil {
-		d = &demand{at: now}
-		c.demands[s.customer.Name] = d
-	}
-	d.add(cost(s), now)
+	amount := cost(s)
+	c.recordDemand(s.customer.Name, amount, now)
 	l := c.limiter(s.customer, now)
-	return l.take(cost(s), c.hasHeadroom(l, s.customer, now), now)
+	l.advance(now)
+	if !l.holds(amount) && !c.mayOverdraw(s, l, now) {
+		return l.wait(amount), false
+	}
+	l.spend(amount)
+	return 0, true
+}
+
+// mayOverdraw reports whether a request is admitted that its customer's bucket does
+// not hold.
+func (c *Core) mayOverdraw(s *requestState, l *limiter, now clock.Instant) bool {
+	a, isKnown := c.admission(l, s.customer, now)
+	if !isKnown {
+		return l.isFull()
+	}
+	return isAdmitted(s.request.ID, a.fraction())
 }
 
 // limiter returns the limiter of a customer, created on first use.
 func (c *Core) limiter(customer *catalog.Customer, now clock.Instant) *limiter {
 	l := c.limiters[customer.Name]
 	if l == nil {
-		l = newLimiter(c.limitShare(customer.Name), c.limitSlack(), c.gateways, c.config.LimitWindow, customer, now)
+		l = newLimiter(c.limitShare(customer.Name), c.limitSlack(), c.config.LimitSlack, c.gateways, c.config.LimitWindow, customer, now)
+		l.inherit(c.inheritedUse[customer.Name], now)
+		delete(c.inheritedUse, customer.Name)
 		c.limiters[customer.Name] = l
 	}
 	return l
--- a/serving/relay/core_done.go
+++ b/serving/relay/core_done.go
@@ -50,7 +50,7 @@
 	s.mayHaveRun = true
 	c.recordRun(s, now)
 	if !isStream(s.route) {
-		c.recordLatency(a, now)
+		c.recordLatency(s.pool, a, now)
 	}
 	s.pool.recordStatus(a.member, isError, now)
 	if isError && c.retry(s, "server error", now) {
--- a/serving/relay/core_place.go
+++ b/serving/relay/core_place.go
@@ -7,14 +7,9 @@
 )
 
 const (
-	// prefillTokensPerMilli is the number of prompt tokens that an engine reads per
-	// millisecond.
-	prefillTokensPerMilli = 50.0
 	// delayPerOpenRequest is the predicted delay of the first event for each of
 	// this gateway's requests in progress at the upstream.
 	delayPerOpenRequest = 2 * time.Millisecond
-	// baseFirstEvent is the time to the first event if the whole prompt is cached.
-	baseFirstEvent = 20 * time.Millisecond
 	// errorRateLimit is the error rate above which server errors may count against
 	// the health of an upstream.
 	errorRateLimit = 0.4
@@ -140,17 +135,13 @@
 		p.cached = max(p.cached, sharedTokens(prompt))
 	}
 	p.uncached = max(prompt.Tokens-p.cached, 0)
-	p.unloaded = baseFirstEvent + prefillTime(p.uncached)
-	p.queueWait = max(m.expectedDelay(priority(s), now), prefillTime(m.prefillTokens)) + time.Duration(m.open)*delayPerOpenRequest
+	speed := &s.pool.speed
+	p.unloaded = speed.firstEvent(p.uncached)
+	p.queueWait = max(m.expectedDelay(priority(s), now), speed.readTime(m.prefillTokens)) + time.Duration(m.open)*delayPerOpenRequest
 	p.firstEvent = p.unloaded + p.queueWait
 	return p
 }
 
-// prefillTime returns the time in which an engine reads prompt tokens.
-func prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / prefillTokensPerMilli * float64(time.Millisecond))
-}
-
 // missesTarget reports whether a request would miss its latency target mainly by
 // waiting behind other requests.
 func missesTarget(s *requestState, p prediction) bool {
@@ -184,6 +175,7 @@
 	m.open++
 	m.prefillTokens += p.uncached
 	if s.request.Prompt != nil {
+		s.attempt.hasPrompt = true
 		s.attempt.priority = priority(s)
 		m.queueDelays[s.attempt.priority].enqueue(s.attempt)
 	}
--- a/serving/relay/core_response.go
+++ b/serving/relay/core_response.go
@@ -68,7 +68,7 @@
 	a.member.prefillTokens -= a.predicted.uncached
 	a.member.queueDelays[a.priority].dequeue(a)
 	c.recordRun(s, now)
-	c.recordLatency(a, now)
+	c.recordLatency(s.pool, a, now)
 	s.pool.health.Succeeded(&a.member.record)
 }
 
@@ -91,14 +91,16 @@
 }
 
 // recordLatency updates the upstream's latency or, after a request with a prompt,
-// its queueing delay: the time to the first event beyond that at an idle upstream.
-func (c *Core) recordLatency(a *attempt, now clock.Instant) {
-	m := a.member
-	if a.predicted.unloaded == 0 {
-		m.plainLatency += time.Duration(plainLatencyWeight * float64(now.Sub(a.sent)-m.plainLatency))
+// its queueing delay, which is the time to the first event beyond that at an idle
+// upstream, and the speed of the service's engines.
+func (c *Core) recordLatency(p *pool, a *attempt, now clock.Instant) {
+	m, took := a.member, now.Sub(a.sent)
+	if !a.hasPrompt {
+		m.plainLatency += time.Duration(plainLatencyWeight * float64(took-m.plainLatency))
 		return
 	}
-	m.queueDelays[a.priority].observe(now.Sub(a.sent)-a.predicted.unloaded, now)
+	m.queueDelays[a.priority].observe(took-a.predicted.unloaded, now)
+	p.speed.observe(a.predicted.uncached, took)
 }
 
 func isStream(r *catalog.Route) bool {
--- a/serving/relay/limiter.go
+++ b/serving/relay/limiter.go
@@ -18,57 +18,41 @@
 	gatewaySlackShare = 0.125
 	// totalSlackShare is the part of LimitSlack that all gateways use together.
 	totalSlackShare = 0.8
+	// allowanceSlackShare is the part of LimitSlack that the allowance of a window
+	// includes. The rest covers gateways that do not know of each other's use.
+	allowanceSlackShare = 0.4
 )
 
-const (
-	// limitBuckets is the number of buckets into which the window is divided.
-	limitBuckets = 16
-	// headroomUtilization is the utilization, over all gateways, up to which a
-	// customer has headroom.
-	headroomUtilization = 0.6
-	// smallQuotaUtilization replaces headroomUtilization if the quota is below
-	// smallQuotaRequests typical requests: with so small a quota, many gateways
-	// use it up by chance alone.
-	smallQuotaUtilization = 0.9
-	smallQuotaRequests    = 16
-	// quotaShare is the quota as a part of an even share of what the limit allows
-	// in a window.
-	quotaShare = 0.8
-	// maxOverdraftRequests is the number of typical requests by which a customer
-	// with headroom may overdraw the bucket.
-	maxOverdraftRequests = 3
-	// typicalCostWeight is the weight of one request in the typical cost.
-	typicalCostWeight = 0.1
-	// demandMargin allows for demand that has risen since it was last reported.
-	demandMargin = 1.6
-)
+// limitBuckets is the number of buckets into which the window is divided.
+const limitBuckets = 16
 
-// limiter enforces this gateway's share of a customer's limit. It is a token
-// bucket that holds the gateway's share of the burst plus some slack.
+// limiter enforces this gateway's share of a customer's limit and counts its use. It
+// is a token bucket that holds the gateway's share of the burst plus some slack.
 //
-// With many gateways that can be less than one request. A customer that has
-// headroom, because its use over all gateways is far below its limit, may
-// therefore overdraw the bucket by a few typical requests while its use at this
-// gateway stays within the quota. The bucket is refilled from below zero, so the
-// overdraft is paid back.
+// Requests that are admitted although the bucket holds too little, see admission,
+// are taken from it as well. The bucket is refilled from below zero, so that over
+// time the gateway uses no more than its share because of the bucket.
 type limiter struct {
-	share     float64 // of the limit, 0 to 1
-	slack     float64
-	rate      float64 // refill per second
-	burst     float64 // size of the bucket
-	level     float64
-	updatedAt clock.Instant
+	share float64 // of the limit, 0 to 1
+	slack float64
+	// totalSlack is the slack of the limit over all gateways.
+	totalSlack float64
+	rate       float64 // refill per second
+	burst      float64 // size of the bucket
+	level      float64
+	updatedAt  clock.Instant
 	// window is the time over which the limit is counted.
 	window time.Duration
-	// quota is what a customer with headroom may use here in a window.
-	quota       float64
-	typicalCost float64
-	buckets     [limitBuckets + 1]float64 // use by time
-	current     int64
+	// allowance is what the limit allows over all gateways in a window.
+	allowance float64
+	// quota is an even share of the allowance.
+	quota   float64
+	buckets [limitBuckets + 1]float64 // use by time
+	current int64
 }
 
-func newLimiter(share, slack float64, gateways int, window time.Duration, c *catalog.Customer, now clock.Instant) *limiter {
-	l := &limiter{share: share, slack: slack, updatedAt: now, window: max(window, limitBuckets)}
+func newLimiter(share, slack, totalSlack float64, gateways int, window time.Duration, c *catalog.Customer, now clock.Instant) *limiter {
+	l := &limiter{share: share, slack: slack, totalSlack: totalSlack, updatedAt: now, window: max(window, limitBuckets)}
 	l.current = l.bucketNumber(now)
 	l.configure(c, gateways)
 	l.level = initialFill * l.burst
@@ -77,47 +61,48 @@
 
 // configure sets the customer's limit. A lower burst takes effect at once.
 func (l *limiter) configure(c *catalog.Customer, gateways int) {
-	l.quota = quotaShare * (c.Rate*l.window.Seconds() + c.Burst) / float64(gateways)
+	l.allowance = c.Rate*l.window.Seconds() + c.Burst + allowanceSlackShare*l.totalSlack
+	l.quota = l.allowance / float64(gateways)
 	l.rate = c.Rate * l.share
 	l.burst = c.Burst*l.share + l.slack
 	l.level = min(l.level, l.burst)
 }
 
-// utilization returns the part of the limit that a demand per second over all
-// gateways uses.
-func (l *limiter) utilization(demand float64, c *catalog.Customer) float64 {
-	seconds := l.window.Seconds()
-	return demandMargin * demand * seconds / max(c.Rate*seconds+c.Burst, 1)
+// holds reports whether the bucket holds an amount.
+func (l *limiter) holds(amount float64) bool {
+	return l.level >= amount
 }
 
-// hasHeadroom reports whether the utilization is low enough for an overdraft.
-func (l *limiter) hasHeadroom(utilization float64) bool {
-	if l.quota < smallQuotaRequests*l.typicalCost {
-		return utilization <= smallQuotaUtilization
-	}
-	return utilization <= headroomUtilization
+// isFull reports whether the bucket is full. An amount that exceeds the bucket can
+// only be admitted then.
+func (l *limiter) isFull() bool {
+	return l.level >= l.burst
 }
 
-// take takes an amount from the bucket. If the bucket holds too little, it returns
-// false and the time until it will hold enough.
-func (l *limiter) take(amount float64, hasHeadroom bool, now clock.Instant) (time.Duration, bool) {
-	l.advance(now)
-	if l.typicalCost == 0 {
-		l.typicalCost = amount
-	}
-	l.typicalCost += typicalCostWeight * (amount - l.typicalCost)
-	mayOverdraw := hasHeadroom && l.level >= -maxOverdraftRequests*l.typicalCost && l.used()+amount <= l.quota
-	// An amount that exceeds the bucket is admitted when the bucket is full.
-	if l.level >= min(amount, l.burst) || mayOverdraw {
-		l.level -= amount
-		l.buckets[l.current%int64(len(l.buckets))] += amount
-		return 0, true
-	}
+// wait returns the time until the bucket will hold an amount.
+func (l *limiter) wait(amount float64) time.Duration {
 	if l.rate <= 0 {
-		return time.Second, false
+		return maxThrottledRetryAfter
 	}
 	missing := min(amount, l.burst) - l.level
-	return time.Duration(missing / l.rate * float64(time.Second)), false
+	return min(time.Duration(missing/l.rate*float64(time.Second)), maxThrottledRetryAfter)
+}
+
+// spend takes an admitted amount from the bucket and counts its use. The overdraft
+// is at most the quota, or one request.
+func (l *limiter) spend(amount float64) {
+	l.level = max(l.level-amount, -max(l.quota, amount))
+	l.buckets[l.current%int64(len(l.buckets))] += amount
+}
+
+// inherit counts an amount that a former process of this gateway has used, evenly
+// over the last window. The bucket stays as it is: it starts without the former
+// process's fill.
+func (l *limiter) inherit(amount float64, now clock.Instant) {
+	l.advance(now)
+	for i := range l.buckets {
+		l.buckets[i] += amount / float64(len(l.buckets))
+	}
 }
 
 // refund returns an amount that was taken but not used.
--- a/serving/relay/load.go
+++ b/serving/relay/load.go
@@ -21,3 +21,13 @@
 	}
 	return out
 }
+
+// ReadRates returns the observed rate, in prompt tokens per second, at which one
+// idle engine of each service reads.
+func (c *Core) ReadRates() map[string]float64 {
+	out := make(map[string]float64, len(c.pools))
+	for name, p := range c.pools {
+		out[name] = p.speed.tokensPerSecond()
+	}
+	return out
+}
--- a/serving/relay/pool.go
+++ b/serving/relay/pool.go
@@ -16,6 +16,8 @@
 	// errorRate is the moving average of responses that were server errors, over
 	// all members.
 	errorRate float64
+	// speed is that of the service's engines when idle.
+	speed engineSpeed
 	// prefillDemand is the number of uncached prompt tokens sent per second.
 	prefillDemand demand
 }
@@ -25,7 +27,10 @@
 		service: service,
 		members: make(map[string]*member),
 		health:  health.NewGroup(config.Health),
-		budget:  retryBudget{ratio: config.RetryRatio, extra: config.RetryExtra, window: config.RetryWindow},
+		speed:   newEngineSpeed(),
+
+		prefillDemand: demand{window: demandWindow},
+		budget:        retryBudget{ratio: config.RetryRatio, extra: config.RetryExtra, window: config.RetryWindow},
 	}
 }
 
