entry: a few gateways follow the store for all others

Change: serving/exchange and the peers duty. One hub in 24 gateways of a failure domain follows the store; the others poll it twice a second at the internal address, give it their record and get changed records and rows, with the store's versions and how old the hub's knowledge is. A gateway that gets no current news calls the store itself within 1.2 s. Up to 8 gateways nothing changes. Records are written every 2 s then. Usage counts are taken as published up to the write of a record, no longer its read.

Also: the record that is handed to another thread holds a copy of the counts.

--- a/daemon/entry/cluster_message.go
+++ b/daemon/entry/cluster_message.go
@@ -1,7 +1,7 @@
 package entry
 
 // clusterMessage is a message to the cluster duty: requestStats, recordsRead,
-// recordWritten, leaseRead, leaseWritten, countsStored, countsRead,
+// recordWritten, recordsKnown, leaseRead, leaseWritten, countsStored, countsRead,
 // usageReported, upstreamsOrdered, setFleet, setReady, leaveCluster or
 // dumpCluster.
 type clusterMessage interface {
--- a/daemon/entry/coordinator.go
+++ b/daemon/entry/coordinator.go
@@ -12,6 +12,7 @@
 	"github.com/sycamorecourse/sycamorecourse/platform/cloud"
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
+	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
 	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
 )
@@ -30,9 +31,22 @@
 	minHeartbeatInterval = time.Second
 	// heartbeatPerGateway is the heartbeat interval per gateway in the cluster. It
 	// bounds the rate of writes of all gateways together.
-	heartbeatPerGateway = 50 * time.Millisecond
+	heartbeatPerGateway = 6 * time.Millisecond
 	// maxHeartbeatInterval is the longest time between two writes.
 	maxHeartbeatInterval = 1800 * time.Millisecond
+	// peerHeartbeatInterval is the time between two writes while other gateways get
+	// this gateway's record by the exchange of news.
+	peerHeartbeatInterval = 2 * time.Second
+	// hubListInterval and peerListInterval are the times between two reads of all
+	// records from the store, by a hub and by a gateway that gets the news of one.
+	hubListInterval  = 2 * time.Second
+	peerListInterval = 10 * time.Second
+	// maxNewsSilence is the time without news of a hub after which a gateway reads the
+	// records itself.
+	maxNewsSilence = 1500 * time.Millisecond
+	// maxClockError is the difference from a hub's estimate of the store's clock from
+	// which this gateway's estimate is replaced: the process was suspended.
+	maxClockError = 200 * time.Millisecond
 	// liveHeartbeats is the number of heartbeat intervals after which a gateway whose
 	// record has not changed is left out of the directory.
 	liveHeartbeats = 2.3
@@ -49,6 +63,8 @@
 	// usageSettleTime is the time after the end of a usage window by which all
 	// gateways have published their counts for it.
 	usageSettleTime = 4500 * time.Millisecond
+	// countsDelay is the time after which a count is in the record of its gateway.
+	countsDelay = 2 * statsInterval
 	// reportRetryDelay is the delay after a failed usage report.
 	reportRetryDelay = 500 * time.Millisecond
 )
@@ -61,6 +77,8 @@
 	inbox     *ring.Ring[clusterMessage]
 	dispatch  *ring.Ring[dispatchMessage]
 	directory *ring.Ring[directoryMessage]
+	peers     *ring.Ring[peerMessage]
+	watch     *ring.Ring[watchMessage]
 	store     *rows.Client
 	leases    *rows.Table
 	cloud     *cloud.Client
@@ -68,11 +86,17 @@
 	log       zerolog.Logger
 
 	record          cluster.Record
+	records         *exchange.RecordLog
 	view            *cluster.View
+	hubs            []string      // names, as last sent to the peers duty
+	newsAt          clock.Instant // of the last news of a hub
+	listAt          clock.Instant // when the records are next read from the store
+	limitWindow     time.Duration // over which the use of limits is counted
 	tally           *usage.Tally
 	reporter        *usage.Reporter
 	reportsUsage    bool
 	planner         *scale.Planner
+	readRates       map[string]float64 // of one engine of each service, in tokens per second
 	fleet           setFleet
 	plannedAt       clock.Instant
 	ordersUpstreams bool
@@ -153,9 +177,14 @@
 			c.tally.Add(window, counts)
 		}
 		c.record.Demand = m.demand
+		c.record.RecentDemand, c.record.Used = m.recentDemand, m.used
 		c.record.Loads = m.loads
+		c.shareRecord(false, now)
+		c.readRates = m.readRates
 	case recordsRead:
 		c.handleRecordsRead(m, now)
+	case recordsKnown:
+		c.handleRecordsKnown(m, now)
 	case recordWritten:
 		c.handleRecordWritten(m, now)
 	case leaseRead:
@@ -175,6 +204,7 @@
 	case setReady:
 		c.record.Ready = !c.isLeaving
 		c.heartbeatAt = now
+		c.shareRecord(true, now)
 	case leaveCluster:
 		c.leave(now)
 	case dumpCluster:
@@ -198,6 +228,7 @@
 	c.isLeaving = true
 	c.record.Ready = false
 	c.heartbeatAt = now
+	c.shareRecord(true, now)
 	c.runLeaseStep(c.lease.Release(now))
 }
 
--- a/daemon/entry/coordinator_duties.go
+++ b/daemon/entry/coordinator_duties.go
@@ -75,7 +75,7 @@
 	if !c.reportsUsage || c.storeClockReadAt == 0 {
 		return
 	}
-	window, ok := c.reporter.Due(c.wallTime(now), c.wallTime(c.view.CountsPublishedUntil())-c.heartbeatInterval())
+	window, ok := c.reporter.Due(c.wallTime(now), c.wallTime(c.view.CountsPublishedUntil())-countsDelay)
 	if !ok {
 		c.reportAt = now.Add(reportRetryDelay)
 		return
--- a/daemon/entry/coordinator_orders.go
+++ b/daemon/entry/coordinator_orders.go
@@ -20,6 +20,7 @@
 	c.plannedAt = now
 	for _, service := range c.fleet.catalog.Services {
 		load := c.view.Load(service.Name)
+		c.planner.SetReadRate(service.Name, c.readRates[service.Name])
 		for _, order := range c.planner.Plan(service, c.fleet.upstreams, load, now) {
 			c.order(order, now)
 		}
--- a/daemon/entry/coordinator_records.go
+++ b/daemon/entry/coordinator_records.go
@@ -1,12 +1,15 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/coord/row"
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
+	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
 )
 
@@ -20,9 +23,7 @@
 		c.readRecords()
 		return
 	}
-	c.record.Sequence++
-	c.record.Windows = recordWindows(c.tally)
-	c.record.WrittenAt = c.storeClock + now.Sub(c.storeClockReadAt)
+	c.updateRecord(now)
 	value, err := c.record.Encode()
 	if err != nil {
 		c.log.Error().Str("cause", err.Error()).Msg("card_not_encoded")
@@ -39,17 +40,48 @@
 	})
 }
 
+// updateRecord brings this gateway's record up to date before it is published.
+func (c *coordinator) updateRecord(now clock.Instant) {
+	c.record.Sequence++
+	c.record.Windows = recordWindows(c.tally)
+	c.record.WrittenAt = c.storeNow(now)
+	c.records.Put(c.record)
+}
+
+// storeNow estimates the store's clock.
+func (c *coordinator) storeNow(now clock.Instant) time.Duration {
+	return c.storeClock + now.Sub(c.storeClockReadAt)
+}
+
+// shareRecord hands this gateway's record to the peers duty.
+func (c *coordinator) shareRecord(isUrgent bool, now clock.Instant) {
+	if !c.hasRead {
+		return
+	}
+	c.updateRecord(now)
+	offerOrLog(c.peers, peerMessage(setOwnRecord{record: c.record, isUrgent: isUrgent}), c.log)
+}
+
+// hasNews reports whether hubs keep this gateway informed.
+func (c *coordinator) hasNews(now clock.Instant) bool {
+	return c.newsAt != 0 && now.Sub(c.newsAt) < maxNewsSilence
+}
+
 // heartbeatInterval returns the time between two writes of this gateway's record.
 func (c *coordinator) heartbeatInterval() time.Duration {
+	if c.hasNews(c.clock.Now()) {
+		return peerHeartbeatInterval
+	}
 	interval := heartbeatPerGateway * time.Duration(len(c.view.ShareHolders()))
 	return min(max(minHeartbeatInterval, interval), maxHeartbeatInterval)
 }
 
-// recordWindows returns the counts of a tally in the form of cluster.Record.
+// recordWindows returns a copy of the counts of a tally in the form of
+// cluster.Record. Other threads read the record.
 func recordWindows(t *usage.Tally) map[int64]map[string]uint64 {
 	out := make(map[int64]map[string]uint64, len(t.Windows()))
 	for window, counts := range t.Windows() {
-		out[window] = counts
+		out[window] = maps.Clone(counts)
 	}
 	return out
 }
@@ -60,6 +92,11 @@
 		c.heartbeatActive = false
 		return
 	}
+	if c.hasNews(now) && now.Before(c.listAt) {
+		c.heartbeatActive = false
+		c.markAvailable()
+		return
+	}
 	c.readRecords()
 }
 
@@ -80,34 +117,76 @@
 		return
 	}
 	c.markAvailable()
-	records := make([]cluster.Record, 0, len(m.page.Rows))
+	c.record.ClockOffset = time.Duration(time.Now().UnixNano()) - m.page.Clock
+	c.storeClock, c.storeClockReadAt = m.page.Clock, now
+	known := recordsKnown{clock: m.page.Clock, isComplete: true}
 	for _, r := range m.page.Rows {
 		record, err := cluster.Decode(r.Key.Sort, r.Value)
 		if err != nil {
 			c.log.Warn().Str("cause", err.Error()).Msg("row_ignored")
 			continue
 		}
-		if record.WrittenAt != 0 {
-			record.Age = max(m.page.Clock-record.WrittenAt, 0)
-		}
-		records = append(records, record)
+		known.records = append(known.records, record)
 	}
-	c.view.SetTimeouts(min(time.Duration(liveHeartbeats*float64(c.heartbeatInterval())), maxLiveTimeout), shareTimeout)
-	c.view.Update(records, now)
+	c.scheduleList(now)
+	mergeRecords(c.records, known, m.page.Clock)
+	offerOrLog(c.peers, peerMessage(known), c.log)
+	c.updateView(now)
 	if !c.hasRead {
 		c.hasRead = true
 		c.inheritCounts()
 		c.heartbeatAt = now
 	}
-	c.record.ClockOffset = time.Duration(time.Now().UnixNano()) - m.page.Clock
-	c.storeClock, c.storeClockReadAt = m.page.Clock, now
 	c.tally.Trim(c.wallTime(now))
 	c.publish(now)
 	c.removeDeadRecords()
 }
 
-// inheritCounts takes over the usage counts that a former process of this instance
-// has published.
+// scheduleList sets when the records are next read from the store although hubs
+// pass them on.
+func (c *coordinator) scheduleList(now clock.Instant) {
+	interval := peerListInterval
+	if slices.Contains(c.hubs, c.record.Instance) {
+		interval = hubListInterval
+	}
+	c.listAt = now.Add(interval)
+}
+
+// handleRecordsKnown takes over the records that other gateways have passed on.
+func (c *coordinator) handleRecordsKnown(m recordsKnown, now clock.Instant) {
+	if !c.hasRead {
+		return
+	}
+	mergeRecords(c.records, m, c.storeNow(now))
+	if !m.fromHub {
+		return
+	}
+	if m.clock != 0 && (c.storeNow(now)-m.clock).Abs() > maxClockError {
+		c.storeClock, c.storeClockReadAt = m.clock, now
+	}
+	c.newsAt = now
+	c.updateView(now)
+	c.tally.Trim(c.wallTime(now))
+	c.publish(now)
+}
+
+// updateView updates the view of the cluster from the known records.
+func (c *coordinator) updateView(now clock.Instant) {
+	interval := c.heartbeatInterval()
+	switch {
+	case c.hasNews(now):
+		interval = minHeartbeatInterval
+	case len(c.hubs) > 0:
+		// The others write their records as seldom as gateways with news do.
+		interval = peerHeartbeatInterval
+	}
+	c.view.SetTimeouts(min(time.Duration(liveHeartbeats*float64(interval)), maxLiveTimeout), shareTimeout)
+	c.view.Update(c.records.All(c.storeNow(now)), now)
+}
+
+// inheritCounts takes over what a former process of this instance has published:
+// its usage counts, and its use of the customers' limits unless that was too long
+// ago to count.
 func (c *coordinator) inheritCounts() {
 	former, ok := c.view.Record(c.record.Instance)
 	if !ok {
@@ -116,6 +195,9 @@
 	for window, counts := range former.Windows {
 		c.tally.Add(window, counts)
 	}
+	if former.Age < c.limitWindow {
+		offerOrLog(c.dispatch, dispatchMessage(inheritUse{used: former.Used}), c.log)
+	}
 	c.log.Info().Uint64("incarnation", former.Incarnation).Int("windows", len(former.Windows)).Msg("counts_inherited")
 }
 
@@ -140,10 +222,30 @@
 		c.isStale = isStale
 		c.log.Warn().Bool("reduced", isStale).Int("gateways", message.division.Gateways).Msg("limits_divided")
 	}
+	c.publishHubs(ready)
 	offerOrLog(c.dispatch, dispatchMessage(message), c.log)
 	offerOrLog(c.dispatch, dispatchMessage(setClockOffset{offset: c.clockOffset()}), c.log)
 }
 
+// publishHubs tells the peers and watch duties which gateways are hubs, if that has
+// changed.
+func (c *coordinator) publishHubs(ready []cluster.Record) {
+	hubs := exchange.Hubs(ready)
+	names := make([]string, 0, len(hubs))
+	for _, hub := range hubs {
+		names = append(names, hub.Instance)
+	}
+	if slices.Equal(names, c.hubs) {
+		return
+	}
+	isHub := slices.Contains(names, c.record.Instance)
+	if c.peers.Offer(setHubs{hubs: hubs}) != nil || c.watch.Offer(watchMessage{role: &watchRole{isHub: isHub}}) != nil {
+		return
+	}
+	c.hubs = names
+	c.log.Info().Int("hubs", len(hubs)).Bool("is_hub", isHub).Msg("hubs_changed")
+}
+
 // clockOffset returns the wall clock, as time since the Unix epoch, minus the
 // monotonic clock. It uses the median of the gateways' wall clocks, so that all
 // agree on the usage windows.
--- a/daemon/entry/dispatcher.go
+++ b/daemon/entry/dispatcher.go
@@ -92,6 +92,8 @@
 	case setDivision:
 		d.core.SetDivision(m.division, now)
 		d.core.SetReadyPeers(m.readyPeers)
+	case inheritUse:
+		d.core.InheritUse(m.used, now)
 	case setClockOffset:
 		d.clockOffset = m.offset
 	case closeConnections:
@@ -296,7 +298,15 @@
 	}
 	d.publishedAt = now
 	d.metrics.update(d.core)
-	if d.cluster.Offer(requestStats{counts: d.usageCounts, demand: d.core.Demand(now), loads: d.core.Loads(now)}) == nil {
+	stats := requestStats{
+		counts:       d.usageCounts,
+		demand:       d.core.Demand(now),
+		recentDemand: d.core.RecentDemand(now),
+		used:         d.core.Used(now),
+		loads:        d.core.Loads(now),
+		readRates:    d.core.ReadRates(),
+	}
+	if d.cluster.Offer(stats) == nil {
 		d.usageCounts = make(map[int64]usage.Counts)
 	}
 }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/sycamorecourse/sycamorecourse/platform/cloud"
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
+	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
 	"github.com/sycamorecourse/sycamorecourse/serving/health"
 	"github.com/sycamorecourse/sycamorecourse/serving/relay"
 	"github.com/sycamorecourse/sycamorecourse/serving/scale"
@@ -49,6 +50,8 @@
 	callerIdleTimeout = 90 * time.Second
 	// addressTTL is how long callers may cache the addresses from the directory.
 	addressTTL = time.Second
+	// peerConnectTimeout bounds connecting to another gateway.
+	peerConnectTimeout = 300 * time.Millisecond
 	// leaseMargin allows for clocks that run at different rates during a lease.
 	leaseMargin = 300 * time.Millisecond
 	// leaseRenewInterval is the time between two renewals of a held lease.
@@ -79,11 +82,13 @@
 	dispatch  *dispatcher
 	watch     *watch
 	cluster   *coordinator
+	peers     *peers
 	directory *directory
 	drain     *drain
 	reloader  *reloader
 	upstream  *httpc.Client
 	platform  *httpc.Client
+	peer      *httpc.Client
 	server    *httpd.Server
 	admin     *httpd.Server
 }
@@ -100,6 +105,7 @@
 	directoryRing := ring.New[directoryMessage]("directory", controlCapacity)
 	e.upstream = httpc.New(httpc.Config{Name: "upstream", Capacity: upstreamCapacity, Dialers: 4, ConnectTimeout: upstreamConnectTimeout})
 	e.platform = httpc.New(httpc.Config{Name: "platform", Capacity: controlCapacity, ConnectTimeout: storeConnectTimeout})
+	e.peer = httpc.New(httpc.Config{Name: "peer", Capacity: controlCapacity, ConnectTimeout: peerConnectTimeout})
 	store := rows.New(s.StoreAddress, storeTimeout, e.platform)
 	e.dispatch = &dispatcher{
 		inbox:       dispatchRing,
@@ -120,6 +126,12 @@
 	e.watch.store, e.watch.clock, e.watch.log = store, clock.System{}, log
 	e.watch.propagationLimit = s.PropagationLimit
 	e.cluster = e.newCoordinator(store, clusterRing)
+	e.peers = newPeers(s.Instance, s.FailureDomain)
+	e.peers.inbox = ring.New[peerMessage]("peers", controlCapacity)
+	e.peers.cluster, e.peers.watch = clusterRing, e.watch.inbox
+	e.peers.client = &peerClient{http: e.peer}
+	e.peers.clock, e.peers.log = clock.System{}, log
+	e.watch.peers, e.cluster.peers, e.cluster.watch = e.peers.inbox, e.peers.inbox, e.watch.inbox
 	e.directory = &directory{inbox: directoryRing, ttl: min(addressTTL, s.MaxAddressTTL), log: log}
 	e.directory.addresses = []string{s.CallerAddress}
 	e.drain = &drain{
@@ -137,7 +149,7 @@
 		OnMalformed:    handler.logMalformed,
 	}, handler)
 	if s.AdminAddress != "" {
-		e.admin = httpd.New(httpd.Config{Address: s.AdminAddress, Pollers: 1}, e.report)
+		e.admin = httpd.New(httpd.Config{Address: s.AdminAddress, Pollers: 1}, &admin{report: e.report, peers: e.peers.inbox, log: log})
 	}
 	e.registerSources()
 	return e
@@ -177,9 +189,12 @@
 		clock:     clock.System{},
 		log:       e.log,
 		record: cluster.Record{
-			Instance: s.Instance, Incarnation: incarnation, FailureDomain: s.FailureDomain, Address: s.CallerAddress,
+			Instance: s.Instance, Incarnation: incarnation, FailureDomain: s.FailureDomain,
+			Address: s.CallerAddress, PeerAddress: s.AdminAddress,
 		},
+		records:         exchange.NewRecordLog(),
 		view:            cluster.NewView(time.Duration(liveHeartbeats*float64(minHeartbeatInterval)), shareTimeout),
+		limitWindow:     s.LimitWindow,
 		tally:           usage.NewTally(window),
 		reporter:        usage.NewReporter(window, usageSettleTime, s.UsageReportLimit),
 		reportsUsage:    s.ReportsUsage && s.CloudAddress != "",
@@ -192,7 +207,7 @@
 func (e *Entry) registerSources() {
 	for _, stats := range []func() ring.Stats{
 		e.dispatch.inbox.Stats, e.cluster.inbox.Stats, e.watch.inbox.Stats, e.directory.inbox.Stats,
-		e.drain.inbox.Stats, e.upstream.Stats, e.platform.Stats,
+		e.drain.inbox.Stats, e.peers.inbox.Stats, e.upstream.Stats, e.platform.Stats, e.peer.Stats,
 	} {
 		e.report.AddRing(stats)
 	}
@@ -202,6 +217,9 @@
 	e.report.AddSource("watch", func(reply *ring.Ring[report.Section]) error {
 		return e.watch.inbox.Offer(watchMessage{dump: reply})
 	})
+	e.report.AddSource("peers", func(reply *ring.Ring[report.Section]) error {
+		return e.peers.inbox.Offer(dumpPeers{reply: reply})
+	})
 	e.report.AddSource("cluster", func(reply *ring.Ring[report.Section]) error {
 		return e.cluster.inbox.Offer(dumpCluster{reply: reply})
 	})
@@ -222,6 +240,9 @@
 	if err := e.platform.Open(); err != nil {
 		return &StartError{Part: "platform client", Err: err}
 	}
+	if err := e.peer.Open(); err != nil {
+		return &StartError{Part: "peer client", Err: err}
+	}
 	if err := e.server.Open(); err != nil {
 		return err
 	}
@@ -251,6 +272,8 @@
 func (e *Entry) Run() error {
 	e.group.Start("upstream", e.upstream.Run)
 	e.group.Start("platform", e.platform.Run)
+	e.group.Start("peer", e.peer.Run)
+	e.group.Start("peers", e.peers.run)
 	e.group.Start("dispatch", e.dispatch.run)
 	e.group.Start("directory", e.directory.run)
 	e.group.Start("cluster", e.cluster.run)
@@ -282,8 +305,10 @@
 	e.cluster.inbox.Close()
 	e.directory.inbox.Close()
 	e.dispatch.inbox.Close()
+	e.peers.inbox.Close()
 	e.upstream.Close()
 	e.platform.Close()
+	e.peer.Close()
 	e.report.Close()
 	err := e.group.Join()
 	e.server.Close()
--- /dev/null
+++ b/daemon/entry/news_received.go
@@ -0,0 +1,16 @@
+package entry
+
+import (
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
+)
+
+// newsReceived is the result of polling a hub.
+type newsReceived struct {
+	hub    string
+	sentAt clock.Instant
+	news   exchange.News
+	err    error
+}
+
+func (newsReceived) isPeerMessage() {}
--- /dev/null
+++ b/daemon/entry/peers.go
@@ -0,0 +1,265 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/daemon/report"
+	"github.com/sycamorecourse/sycamorecourse/platform/served"
+	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
+	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
+)
+
+// peers is the duty that exchanges news with other gateways: it polls hubs and, on
+// a hub, answers polls. It passes records on to the cluster duty and changes of the
+// followed tables to the watch duty.
+type peers struct {
+	inbox   *ring.Ring[peerMessage]
+	cluster *ring.Ring[clusterMessage]
+	watch   *ring.Ring[watchMessage]
+	client  *peerClient
+	clock   clock.Clock
+	log     zerolog.Logger
+
+	own     cluster.Record
+	plan    *exchange.Plan
+	records *exchange.RecordLog
+	tables  map[string]*exchange.TableCopy
+	// positions holds, by hub, the last news from it.
+	positions map[string]exchange.News
+	// forwarded is the position in records up to which the cluster duty has them.
+	forwarded uint64
+	polling   bool
+	pollAt    clock.Instant
+	newsAt    clock.Instant // of the last news
+	lastHub   string
+	// storeClock is the store's clock minus the monotonic clock; 0 if not known.
+	storeClock time.Duration
+
+	polls, failures, answered uint64
+}
+
+func newPeers(instance, failureDomain string) *peers {
+	tables := make(map[string]*exchange.TableCopy)
+	for _, name := range []string{served.ConfigTable, served.UpstreamTable} {
+		tables[name] = exchange.NewTableCopy(name)
+	}
+	return &peers{
+		plan:      exchange.NewPlan(instance, failureDomain),
+		records:   exchange.NewRecordLog(),
+		tables:    tables,
+		positions: make(map[string]exchange.News),
+	}
+}
+
+func (p *peers) run() error {
+	for {
+		now := p.clock.Now()
+		wait := p.plan.Interval()
+		if !p.polling {
+			wait = min(wait, max(p.pollAt.Sub(now), 0))
+		}
+		m, ok, err := p.inbox.TakeUntil(wait)
+		if err != nil {
+			return nil
+		}
+		now = p.clock.Now()
+		if ok {
+			p.handle(m, now)
+		}
+		if !p.polling && !now.Before(p.pollAt) {
+			p.forwardRecords(false)
+			p.poll(now)
+		}
+	}
+}
+
+func (p *peers) handle(m peerMessage, now clock.Instant) {
+	switch m := m.(type) {
+	case pollReceived:
+		p.answer(m, now)
+	case newsReceived:
+		p.handleNews(m, now)
+	case tableRead:
+		p.handleTable(m, now)
+	case setOwnRecord:
+		p.own = m.record
+		p.records.Put(m.record)
+		if m.isUrgent {
+			p.pollAt = now
+		}
+	case setHubs:
+		p.plan.SetHubs(m.hubs)
+	case recordsKnown:
+		mergeRecords(p.records, m, m.clock)
+		p.setStoreClock(m.clock, now)
+	case dumpPeers:
+		_ = m.reply.Offer(report.Section{Name: "peers", State: p.dump(now)})
+	}
+}
+
+// poll asks the next hub for news.
+func (p *peers) poll(now clock.Instant) {
+	p.pollAt = now.Add(p.plan.Interval())
+	hub, ok := p.plan.Next(now)
+	if !ok || p.own.Instance == "" {
+		return
+	}
+	if err := p.inbox.Reserve(); err != nil {
+		p.log.Warn().Str("cause", err.Error()).Msg("call_not_made")
+		return
+	}
+	last := p.positions[hub.Instance]
+	request := exchange.Poll{Record: p.own, Hub: last.Hub, Position: last.Position}
+	if !p.plan.IsHub() {
+		request.Versions = p.versions()
+	}
+	p.polling = true
+	p.polls++
+	p.client.poll(hub.PeerAddress, request, func(n exchange.News, err error) {
+		offerResult(p.inbox, peerMessage(newsReceived{hub: hub.Instance, sentAt: now, news: n, err: err}), p.log)
+	})
+}
+
+// versions returns the versions of the copied tables.
+func (p *peers) versions() map[string]uint64 {
+	out := make(map[string]uint64, len(p.tables))
+	for name, t := range p.tables {
+		out[name] = t.Version()
+	}
+	return out
+}
+
+// handleNews takes over the news of a hub. After a failure the next hub is polled at
+// once.
+func (p *peers) handleNews(m newsReceived, now clock.Instant) {
+	p.polling = false
+	if m.err != nil {
+		p.failures++
+		p.plan.Failed(m.hub, now)
+		p.pollAt = now
+		p.log.Info().Str("hub", m.hub).Str("cause", m.err.Error()).Msg("poll_failed")
+		return
+	}
+	p.plan.Succeeded(m.hub)
+	p.newsAt, p.lastHub = now, m.hub
+	p.positions[m.hub] = exchange.News{Hub: m.news.Hub, Position: m.news.Position}
+	for _, r := range m.news.Records {
+		p.records.Put(r)
+	}
+	p.setStoreClock(m.news.Clock, now)
+	p.forwardRecords(true)
+	p.applyTables(m.news.Tables, m.sentAt)
+}
+
+// applyTables applies the changes of tables that a hub knew to be current some time
+// before the poll was sent, and passes them on to the watch duty.
+func (p *peers) applyTables(updates []exchange.TableUpdate, sentAt clock.Instant) {
+	current := make([]exchange.TableUpdate, 0, len(updates))
+	for _, u := range updates {
+		if t := p.tables[u.Table]; t != nil && u.IsCurrent() && u.Version >= t.Version() {
+			t.Apply(u, sentAt.Add(-u.Age))
+			current = append(current, u)
+		}
+	}
+	if len(current) == 0 || p.plan.IsHub() {
+		return
+	}
+	if err := p.watch.Offer(watchMessage{updates: current}); err != nil {
+		p.log.Warn().Str("cause", err.Error()).Msg("message_dropped")
+		// The next news has to repeat what was dropped.
+		for _, u := range current {
+			p.tables[u.Table] = exchange.NewTableCopy(u.Table)
+		}
+	}
+}
+
+func (p *peers) handleTable(m tableRead, now clock.Instant) {
+	t := p.tables[m.update.Table]
+	if m.failed {
+		t.Unavailable()
+		return
+	}
+	t.Apply(m.update, now)
+}
+
+// forwardRecords passes new records on to the cluster duty.
+func (p *peers) forwardRecords(fromHub bool) {
+	list, last := p.records.Since(p.forwarded)
+	if len(list) == 0 && !fromHub {
+		return
+	}
+	clockNow := time.Duration(0)
+	if p.storeClock != 0 {
+		clockNow = p.storeClock + time.Duration(p.clock.Now())
+	}
+	if p.cluster.Offer(recordsKnown{records: list, clock: clockNow, fromHub: fromHub}) == nil {
+		p.forwarded = last
+	}
+}
+
+func (p *peers) setStoreClock(storeClock time.Duration, now clock.Instant) {
+	if storeClock != 0 {
+		p.storeClock = storeClock - time.Duration(now)
+	}
+}
+
+// answer answers a poll with what has changed since the last one.
+func (p *peers) answer(m pollReceived, now clock.Instant) {
+	request, err := exchange.DecodePoll(m.exchange.Body)
+	if err != nil {
+		p.log.Warn().Str("peer", m.exchange.Remote).Str("cause", err.Error()).Msg("poll_bad")
+		p.reply(m, http.StatusBadRequest, nil)
+		return
+	}
+	p.answered++
+	p.records.Put(request.Record)
+	news := exchange.News{Hub: p.own.Incarnation, Clock: p.storeClock + time.Duration(now)}
+	position := request.Position
+	if request.Hub != news.Hub {
+		position = 0
+	}
+	news.Records, news.Position = p.records.Since(position)
+	for name, version := range request.Versions {
+		if t := p.tables[name]; t != nil {
+			news.Tables = append(news.Tables, t.Since(version, now))
+		}
+	}
+	body, err := news.Encode()
+	if err != nil || p.own.Instance == "" || p.storeClock == 0 {
+		// This process does not know enough yet.
+		p.reply(m, http.StatusServiceUnavailable, nil)
+		return
+	}
+	p.reply(m, http.StatusOK, body)
+}
+
+func (p *peers) reply(m pollReceived, status int, body []byte) {
+	if err := m.exchange.Reply(status, http.Header{"Content-Type": {"application/cbor"}}, body); err != nil {
+		p.log.Debug().Str("peer", m.exchange.Remote).Str("cause", err.Error()).Msg("peer_gone")
+	}
+}
+
+func (p *peers) dump(now clock.Instant) peersDump {
+	return peersDump{
+		IsHub: p.plan.IsHub(), LastHub: p.lastHub, NewsAgeMillis: now.Sub(p.newsAt).Milliseconds(),
+		Polls: p.polls, Failures: p.failures, Answered: p.answered, Versions: p.versions(),
+	}
+}
+
+// mergeRecords adds records to a log. After all records of the store it drops those
+// of gateways that are no longer there.
+func mergeRecords(log *exchange.RecordLog, m recordsKnown, storeClock time.Duration) {
+	names := make(map[string]bool, len(m.records))
+	for _, r := range m.records {
+		names[r.Instance] = true
+		log.Put(r)
+	}
+	if m.isComplete {
+		log.Keep(names, storeClock, deadRecordTimeout)
+	}
+}
--- a/daemon/entry/request_stats.go
+++ b/daemon/entry/request_stats.go
@@ -6,11 +6,15 @@
 )
 
 // requestStats holds the usage counts since the previous message, by usage window,
-// the current demand of each customer and the load of each service.
+// the current demand of each customer and its use of its limit, the load of each
+// service and the rate at which one of its engines reads prompt tokens.
 type requestStats struct {
-	counts map[int64]usage.Counts
-	demand map[string]float64
-	loads  map[string]scale.Load
+	counts       map[int64]usage.Counts
+	demand       map[string]float64
+	recentDemand map[string]float64
+	used         map[string]float64
+	loads        map[string]scale.Load
+	readRates    map[string]float64
 }
 
 func (requestStats) isClusterMessage() {}
--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -12,6 +12,7 @@
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/platform/served"
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
+	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
 	"github.com/sycamorecourse/sycamorecourse/serving/roster"
 )
 
@@ -33,6 +34,13 @@
 	// maxBatchDelayShare is the share of the propagation limit that this delay may
 	// take.
 	maxBatchDelayShare = 0.25
+	// hubFeedWait and hubBatchDelay are the wait and the batch delay of a hub. They are
+	// short since a hub passes on how old its knowledge is, and what it knows.
+	hubFeedWait   = 800 * time.Millisecond
+	hubBatchDelay = 300 * time.Millisecond
+	// newsTimeout is the time after the news of a hub after which the store is called
+	// again.
+	newsTimeout = 1200 * time.Millisecond
 	// watchRetryDelay is the delay after a failed call.
 	watchRetryDelay = 150 * time.Millisecond
 	// recoveryGrace is the time after the store becomes available again in which
@@ -48,6 +56,7 @@
 	dispatch  *ring.Ring[dispatchMessage]
 	directory *ring.Ring[directoryMessage]
 	cluster   *ring.Ring[clusterMessage]
+	peers     *ring.Ring[peerMessage]
 	store     *rows.Client
 	clock     clock.Clock
 	log       zerolog.Logger
@@ -57,6 +66,8 @@
 	tables map[string]*watchedTable
 	roster *roster.Roster
 	config *catalog.Catalog
+	// isHub is set if this gateway follows the store for others.
+	isHub bool
 	// announcedReady is set once the directory and the cluster duty have been told
 	// that this process can serve requests.
 	announcedReady bool
@@ -69,12 +80,19 @@
 }
 
 // feedWait returns how long the store holds a feed request open.
-func feedWait(propagationLimit time.Duration) time.Duration {
-	return min(max(time.Duration(feedWaitShare*float64(propagationLimit)), minFeedWait), maxFeedWait)
+func (w *watch) feedWait() time.Duration {
+	wait := min(max(time.Duration(feedWaitShare*float64(w.propagationLimit)), minFeedWait), maxFeedWait)
+	if w.isHub {
+		return min(wait, hubFeedWait)
+	}
+	return wait
 }
 
 // batchDelay returns the delay of the next call after a change of the upstreams.
 func (w *watch) batchDelay() time.Duration {
+	if w.isHub {
+		return hubBatchDelay
+	}
 	delay := baseBatchDelay + time.Duration(w.roster.Len())*batchDelayPerUpstream
 	return min(delay, time.Duration(maxBatchDelayShare*float64(w.propagationLimit)))
 }
@@ -104,6 +122,10 @@
 		case !ok:
 		case m.dump != nil:
 			_ = m.dump.Offer(report.Section{Name: "watch", State: w.dump(now)})
+		case m.role != nil:
+			w.isHub = m.role.isHub
+		case m.updates != nil:
+			w.handleNews(m.updates, now)
 		default:
 			w.handleResponse(m, now)
 		}
@@ -114,13 +136,13 @@
 // timeout returns the time until a call, an expiry of the roster or another try to
 // publish is due.
 func (w *watch) timeout(now clock.Instant) time.Duration {
-	wait := feedWait(w.propagationLimit)
+	wait := w.feedWait()
 	if w.upstreamsChanged || w.configChanged || w.fleetChanged {
 		wait = watchRetryDelay
 	}
 	for _, t := range w.tables {
 		if !t.calling {
-			wait = min(wait, t.nextCallAt.Sub(now))
+			wait = min(wait, w.callDue(t).Sub(now))
 		}
 	}
 	if next, ok := w.roster.NextExpiry(); ok {
@@ -129,8 +151,16 @@
 	return max(wait, 0)
 }
 
+// callDue returns when the next call for a table is due.
+func (w *watch) callDue(t *watchedTable) clock.Instant {
+	if w.isHub || t.needsList {
+		return t.nextCallAt
+	}
+	return max(t.nextCallAt, t.newsUntil)
+}
+
 func (w *watch) startCall(t *watchedTable, now clock.Instant) {
-	if t.calling || now.Before(t.nextCallAt) {
+	if t.calling || now.Before(w.callDue(t)) {
 		return
 	}
 	if err := w.inbox.Reserve(); err != nil {
@@ -146,7 +176,7 @@
 		w.store.List(t.table, "", done)
 		return
 	}
-	w.store.Feed(t.table, t.version, feedWait(w.propagationLimit), done)
+	w.store.Feed(t.table, t.version, w.feedWait(), done)
 }
 
 func (w *watch) handleResponse(m watchMessage, now clock.Instant) {
@@ -156,6 +186,20 @@
 		w.handleFailure(t, m.err, now)
 		return
 	}
+	if !w.accept(t, m.page, m.isList, now) {
+		// The response shows an older state than an earlier one.
+		t.nextCallAt = now.Add(watchRetryDelay)
+		return
+	}
+	if len(m.page.Rows) > 0 && t.table == served.UpstreamTable {
+		t.nextCallAt = now.Add(w.batchDelay())
+	}
+	w.sharePage(t, m.page, m.isList)
+}
+
+// accept applies what the store or a hub has returned for a table. It returns false
+// if that is older than what is known.
+func (w *watch) accept(t *watchedTable, p rows.Page, isList bool, now clock.Instant) bool {
 	if t.isUnavailable {
 		t.isUnavailable = false
 		w.log.Info().Str("dependency", "store").Str("by", t.table).Msg("dependency_back")
@@ -163,22 +207,40 @@
 	if t.table == served.UpstreamTable {
 		w.roster.StoreAvailable(now)
 	}
-	if m.page.Version < t.version {
-		// The response shows an older state than an earlier one.
-		t.nextCallAt = now.Add(watchRetryDelay)
-		return
-	}
-	if len(m.page.Rows) > 0 && t.table == served.UpstreamTable {
-		t.nextCallAt = now.Add(w.batchDelay())
+	if p.Version < t.version {
+		return false
 	}
-	t.version = m.page.Version
+	t.version = p.Version
 	t.updatedAt = now
 	t.needsList = false
 	if t.table == served.ConfigTable {
-		w.applyConfig(m.page)
-		return
+		w.applyConfig(p)
+		return true
+	}
+	w.applyUpstreams(p, isList, now)
+	return true
+}
+
+// handleNews applies what a hub knows of the tables to be current.
+func (w *watch) handleNews(updates []exchange.TableUpdate, now clock.Instant) {
+	for _, u := range updates {
+		t := w.tables[u.Table]
+		if t == nil || (t.version == 0 && !u.Full) {
+			continue
+		}
+		if w.accept(t, pageOf(u), u.Full, now) {
+			t.newsUntil = now.Add(newsTimeout)
+		}
+	}
+}
+
+// sharePage hands what the store has returned to the peers duty. If that has no
+// room, the whole table is read again, since the peers duty must not miss a change.
+func (w *watch) sharePage(t *watchedTable, p rows.Page, isList bool) {
+	if err := w.peers.Offer(tableRead{update: updateOf(t.table, p, isList)}); err != nil {
+		w.log.Warn().Str("cause", err.Error()).Msg("message_dropped")
+		t.needsList = true
 	}
-	w.applyUpstreams(m.page, m.isList, now)
 }
 
 func (w *watch) handleFailure(t *watchedTable, err error, now clock.Instant) {
@@ -193,6 +255,7 @@
 	if t.table == served.UpstreamTable {
 		w.roster.StoreUnavailable()
 	}
+	offerOrLog(w.peers, peerMessage(tableRead{update: exchange.TableUpdate{Table: t.table}, failed: true}), w.log)
 	w.log.Debug().Str("table", t.table).Str("cause", err.Error()).Msg("watch_failed")
 	if !t.isUnavailable {
 		t.isUnavailable = true
--- a/daemon/entry/watched_table.go
+++ b/daemon/entry/watched_table.go
@@ -15,6 +15,8 @@
 	// nextCallAt is the earliest time of the next call, after a failure or a batch
 	// delay.
 	nextCallAt clock.Instant
+	// newsUntil is until when the news of a hub replace calls to the store.
+	newsUntil clock.Instant
 	// isUnavailable is set after a failed call until the next successful one.
 	isUnavailable bool
 	// updatedAt is the time of the last successful call.
