Upstreams that send without end are cut off at a bound in bytes

The client's parser kept a status line, a header field, a chunk size or a chunk extension of up to 64 MB; header fields and interim responses had no bound; an event without an end grew until the call timed out, searched anew for each piece; a reply over its limit was read on to its end or its timeout.

Change: httpc bounds the head of a response, interim ones included, at 64 KiB and what the parser keeps at 8 MiB; a sink may reject the body, which closes the connection and fails the call at once; an event has 1 MiB at most. Comments alone are no progress of a stream: they set no first event, do not keep an attempt alive, and are held back before the first event, so that the request can still go elsewhere.

A slow stream with progress lives on (spec).

Not covered: a caller's head is bounded at 8 MiB and 90 s by the server's parser, not at the 32 KiB of its setting.

--- a/daemon/entry/news_sink.go
+++ b/daemon/entry/news_sink.go
@@ -11,7 +11,6 @@
 	done   func(exchange.News, error)
 	status int
 	body   []byte
-	isOver bool
 }
 
 // Head implements httpc.Sink.
@@ -20,18 +19,18 @@
 }
 
 // Body implements httpc.Sink.
-func (s *newsSink) Body(p []byte) {
+func (s *newsSink) Body(p []byte) error {
 	if len(s.body)+len(p) > maxNewsBytes {
-		s.isOver = true
-		return
+		return &PollRefusedError{Status: s.status, IsTooLarge: true}
 	}
 	s.body = append(s.body, p...)
+	return nil
 }
 
 // Done implements httpc.Sink.
 func (s *newsSink) Done() {
-	if s.isOver || s.status != http.StatusOK {
-		s.done(exchange.News{}, &PollRefusedError{Status: s.status, IsTooLarge: s.isOver})
+	if s.status != http.StatusOK {
+		s.done(exchange.News{}, &PollRefusedError{Status: s.status})
 		return
 	}
 	s.done(exchange.DecodeNews(s.body))
--- a/daemon/entry/peer_client.go
+++ b/daemon/entry/peer_client.go
@@ -14,7 +14,7 @@
 	// pollTimeout bounds a poll. A hub answers from memory.
 	pollTimeout = 400 * time.Millisecond
 	// maxNewsBytes bounds the news of a hub.
-	maxNewsBytes = 16 << 20
+	maxNewsBytes = 8 << 20
 )
 
 // peerClient polls other gateways. Its methods may be called by any thread.
--- a/daemon/entry/receiver.go
+++ b/daemon/entry/receiver.go
@@ -13,7 +13,7 @@
 )
 
 // maxBufferedBytes bounds a response that is not streamed, which is buffered until
-// its end.
+// its end, and what is kept of a stream while the ring is full.
 const maxBufferedBytes = 8 << 20
 
 // receiver passes the response of one attempt on to dispatch: a stream by whole
@@ -32,7 +32,6 @@
 	// isStream is true if this response is a stream; errors on a streaming route
 	// are not.
 	isStream bool
-	tooLarge bool
 }
 
 // Head implements httpc.Sink.
@@ -44,39 +43,36 @@
 }
 
 // Body implements httpc.Sink.
-func (r *receiver) Body(p []byte) {
+func (r *receiver) Body(p []byte) error {
 	n := r.pendingUpdate()
+	if len(n.body.Bytes)+len(p) > maxBufferedBytes {
+		return &ResponseSizeError{Limit: maxBufferedBytes}
+	}
 	if !r.isStream {
-		if len(n.body.Bytes)+len(p) > maxBufferedBytes {
-			r.tooLarge = true
-			return
-		}
 		n.body.Bytes = append(n.body.Bytes, p...)
-		return
+		return nil
 	}
-	whole, first, last := r.splitter.Add(p)
-	if len(whole) == 0 {
-		return
+	events, err := r.splitter.Add(p)
+	if err != nil || len(events.Bytes) == 0 {
+		return err
 	}
-	n.body.Bytes = append(n.body.Bytes, whole...)
+	n.body.Bytes = append(n.body.Bytes, events.Bytes...)
+	n.body.HasData = n.body.HasData || events.HasData
 	if n.body.FirstEvent == 0 {
-		n.body.FirstEvent = first
+		n.body.FirstEvent = events.First
 	}
-	if last != 0 {
-		n.body.LastEvent = last
+	if events.Last != 0 {
+		n.body.LastEvent = events.Last
 	}
 	if r.inbox.Offer(n) == nil {
 		r.pending = nil
 	}
+	return nil
 }
 
 // Done implements httpc.Sink.
 func (r *receiver) Done() {
 	n := r.pendingUpdate()
-	if r.tooLarge {
-		r.Failed(&ResponseSizeError{Limit: maxBufferedBytes})
-		return
-	}
 	n.body.Bytes = append(n.body.Bytes, r.splitter.Rest()...)
 	n.done = true
 	r.offerFinal(n)
--- a/daemon/gateway/load_sink.go
+++ b/daemon/gateway/load_sink.go
@@ -26,10 +26,12 @@
 }
 
 // Body implements httpc.Sink.
-func (s *loadSink) Body(p []byte) {
-	if len(s.body)+len(p) <= maxLoadBytes {
-		s.body = append(s.body, p...)
+func (s *loadSink) Body(p []byte) error {
+	if len(s.body)+len(p) > maxLoadBytes {
+		return &LoadSizeError{}
 	}
+	s.body = append(s.body, p...)
+	return nil
 }
 
 // Done implements httpc.Sink. A report is dropped if it can't be decoded or
--- a/edge/client/sink.go
+++ b/edge/client/sink.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/edge/sse"
 )
 
 // partCapacity is the capacity of the ring between the HTTP client's threads and the
@@ -41,10 +42,10 @@
 }
 
 // Body implements httpc.Sink.
-func (s *sink) Body(p []byte) {
+func (s *sink) Body(p []byte) error {
 	if !s.stream {
 		s.body = append(s.body, p...)
-		return
+		return nil
 	}
 	for len(p) > 0 {
 		line, rest, found := bytes.Cut(p, []byte("\n"))
@@ -59,6 +60,10 @@
 	if len(s.pending) > 0 && s.parts.Offer(responsePart{events: s.pending, status: s.status}) == nil {
 		s.pending = nil
 	}
+	if len(s.line) > sse.MaxEventBytes {
+		return &sse.EventSizeError{}
+	}
+	return nil
 }
 
 // Done implements httpc.Sink.
--- a/edge/engine/discard_sink.go
+++ b/edge/engine/discard_sink.go
@@ -10,7 +10,7 @@
 func (discardSink) Head(int, http.Header) {}
 
 // Body implements httpc.Sink.
-func (discardSink) Body([]byte) {}
+func (discardSink) Body([]byte) error { return nil }
 
 // Done implements httpc.Sink.
 func (discardSink) Done() {}
--- a/edge/engine/service_sink.go
+++ b/edge/engine/service_sink.go
@@ -18,7 +18,6 @@
 	receiver   Receiver
 	idempotent bool
 	reply      request.ServiceReply
-	tooLarge   bool
 }
 
 // Head implements httpc.Sink.
@@ -32,19 +31,17 @@
 }
 
 // Body implements httpc.Sink.
-func (r *serviceSink) Body(p []byte) {
+func (r *serviceSink) Body(p []byte) error {
 	if len(r.reply.Body)+len(p) > maxReplyBytes {
-		r.tooLarge = true
-		return
+		return &ReplySizeError{}
 	}
 	r.reply.Body = append(r.reply.Body, p...)
+	return nil
 }
 
 // Done implements httpc.Sink.
 func (r *serviceSink) Done() {
 	switch {
-	case r.tooLarge:
-		r.receiver.Failed(Tokens{}, dispatch.Failure{Kind: dispatch.TimedOut, Detail: "the reply is too large"})
 	case r.idempotent && r.reply.Status == http.StatusServiceUnavailable:
 		// RefusedByUpstream makes the dispatcher try another upstream, which is
 		// safe only for an idempotent call: a 503 does not prove that it did not
--- a/edge/engine/stream_sink.go
+++ b/edge/engine/stream_sink.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/sycamorecourse/sycamorecourse/edge/sse"
 	"github.com/sycamorecourse/sycamorecourse/serving/dispatch"
 )
 
@@ -37,11 +38,11 @@
 }
 
 // Body implements httpc.Sink.
-func (s *streamSink) Body(p []byte) {
+func (s *streamSink) Body(p []byte) error {
 	if s.status != http.StatusOK {
 		room := max(maxRefusalBytes-len(s.errorBody), 0)
 		s.errorBody = append(s.errorBody, p[:min(room, len(p))]...)
-		return
+		return nil
 	}
 	for len(p) > 0 {
 		line, rest, found := bytes.Cut(p, []byte("\n"))
@@ -54,6 +55,10 @@
 		p = rest
 	}
 	s.flush()
+	if len(s.line) > sse.MaxEventBytes {
+		return &sse.EventSizeError{}
+	}
+	return nil
 }
 
 // Done implements httpc.Sink.
--- a/edge/httpc/client.go
+++ b/edge/httpc/client.go
@@ -45,6 +45,7 @@
 		NPoller:                c.config.Pollers,
 		LockPoller:             true,
 		MessageHandlerPoolSize: 2,
+		ReadLimit:              MaxChunkBytes + MaxHeadBytes,
 		SupportServerOnly:      true,
 	})
 	c.reader.attach(c.engine)
--- a/edge/httpc/client_test.go
+++ b/edge/httpc/client_test.go
@@ -30,7 +30,10 @@
 func newRecorder() *recorder { return &recorder{ended: ring.New[error]("ended", 2)} }
 
 func (r *recorder) Head(status int, _ http.Header) { r.status = status }
-func (r *recorder) Body(p []byte)                  { r.body = append(r.body, p...) }
+func (r *recorder) Body(p []byte) error {
+	r.body = append(r.body, p...)
+	return nil
+}
 func (r *recorder) Done()                          { _ = r.ended.Offer(nil) }
 func (r *recorder) Failed(err error)               { _ = r.ended.Offer(err) }
 
--- a/edge/httpc/connection.go
+++ b/edge/httpc/connection.go
@@ -32,6 +32,11 @@
 	// Keep-Alive field; 0 if unknown. The poller writes it before onIdle.
 	keepAliveTimeout time.Duration
 
+	// unparsed counts the bytes received since the last part of a response was
+	// complete: its head, or a chunk of its body.
+	unparsed     int
+	headComplete bool
+
 	status        int
 	header        http.Header
 	headDelivered bool
@@ -78,12 +83,17 @@
 // last header field, with a negative length if there is no Content-Length. A
 // body that has neither a length nor chunked encoding is close-delimited.
 func (c *connection) OnContentLength(_ *nbhttp.Parser, length int) {
+	if c.status >= 200 {
+		c.headComplete = true
+		c.unparsed = 0
+	}
 	hasBody := c.status >= 200 && c.status != http.StatusNoContent && c.status != http.StatusNotModified
 	c.closeDelimited = length < 0 && !c.chunked && hasBody
 }
 
 // OnBody implements nbhttp.Processor.
 func (c *connection) OnBody(_ *nbhttp.Parser, data []byte) error {
+	c.unparsed = 0
 	call := c.current.Load()
 	if call == nil {
 		return nil
@@ -91,8 +101,21 @@
 	if err := c.deliverHead(call); err != nil {
 		return err
 	}
-	call.Sink.Body(data)
-	return nil
+	return call.Sink.Body(data)
+}
+
+// receive counts received bytes before they are parsed. It fails with a *SizeError
+// if a server sends more than any part of a response may have.
+func (c *connection) receive(bytes int) error {
+	c.unparsed += bytes
+	switch {
+	case !c.headComplete && c.unparsed > MaxHeadBytes:
+		return &SizeError{Part: "head", Limit: MaxHeadBytes}
+	case c.unparsed > MaxChunkBytes+MaxHeadBytes:
+		return &SizeError{Part: "body", Limit: MaxChunkBytes}
+	default:
+		return nil
+	}
 }
 
 // OnTrailerHeader implements nbhttp.Processor.
@@ -114,6 +137,8 @@
 	if c.status < 200 {
 		return
 	}
+	c.headComplete = false
+	c.unparsed = 0
 	if err := c.deliverHead(call); err != nil {
 		_ = c.conn.CloseWithError(err)
 		return
--- a/edge/httpc/sink.go
+++ b/edge/httpc/sink.go
@@ -9,9 +9,10 @@
 type Sink interface {
 	// Head receives the status and the header of the response.
 	Head(status int, header http.Header)
-	// Body receives the next bytes of the body. The slice is valid only until
-	// Body returns.
-	Body(p []byte)
+	// Body receives the next bytes of the body. The slice is valid only until Body
+	// returns. An error rejects the response: the connection is closed, and Failed
+	// follows.
+	Body(p []byte) error
 	// Done reports that the response is complete.
 	Done()
 	// Failed reports that there is no complete response. The error is a
--- /dev/null
+++ b/edge/httpc/size_error.go
@@ -0,0 +1,16 @@
+package httpc
+
+import "strconv"
+
+// SizeError is the cause when a part of a response exceeded its limit.
+type SizeError struct {
+	// Part names the part: the head, or a chunk of the body.
+	Part string
+	// Limit is the largest size in bytes.
+	Limit int
+}
+
+// Error implements error.
+func (e *SizeError) Error() string {
+	return "the " + e.Part + " of the response exceeds " + strconv.Itoa(e.Limit) + " bytes"
+}
--- a/edge/operator/collector.go
+++ b/edge/operator/collector.go
@@ -18,7 +18,10 @@
 func (c *collector) Head(status int, _ http.Header) { c.status = status }
 
 // Body implements httpc.Sink.
-func (c *collector) Body(p []byte) { c.body = append(c.body, p...) }
+func (c *collector) Body(p []byte) error {
+	c.body = append(c.body, p...)
+	return nil
+}
 
 // Done implements httpc.Sink.
 func (c *collector) Done() { _ = c.done.Offer(reply{status: c.status, body: c.body}) }
--- a/edge/platform/collect/sink.go
+++ b/edge/platform/collect/sink.go
@@ -1,6 +1,10 @@
 package collect
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/go-faster/errors"
+)
 
 // Sink collects a response and then calls a function exactly once. It implements
 // httpc.Sink.
@@ -8,7 +12,6 @@
 	limit    int
 	done     func(Response, error)
 	response Response
-	tooLarge bool
 }
 
 // New returns a Sink for a body of at most limitBytes. It calls done with the
@@ -24,25 +27,25 @@
 }
 
 // Body implements httpc.Sink.
-func (s *Sink) Body(p []byte) {
-	if s.tooLarge || len(s.response.Body)+len(p) > s.limit {
-		s.tooLarge = true
+func (s *Sink) Body(p []byte) error {
+	if len(s.response.Body)+len(p) > s.limit {
 		s.response.Body = nil
-		return
+		return &TooLargeError{LimitBytes: s.limit}
 	}
 	s.response.Body = append(s.response.Body, p...)
+	return nil
 }
 
 // Done implements httpc.Sink.
 func (s *Sink) Done() {
-	if s.tooLarge {
-		s.done(Response{}, &TooLargeError{LimitBytes: s.limit})
-		return
-	}
 	s.done(s.response, nil)
 }
 
 // Failed implements httpc.Sink.
 func (s *Sink) Failed(err error) {
+	var tooLarge *TooLargeError
+	if errors.As(err, &tooLarge) {
+		err = tooLarge
+	}
 	s.done(Response{}, err)
 }
--- a/edge/sse/splitter.go
+++ b/edge/sse/splitter.go
@@ -11,19 +11,28 @@
 	partial []byte
 }
 
-// Add appends the next bytes of the stream and returns the unchanged bytes of all
-// events that are now complete, in a new slice. It also returns the first and the
-// last numeric id among these events; 0 if none has one.
-func (s *Splitter) Add(p []byte) (whole []byte, first, last int64) {
+// endBytes is the length of the longest end of an event.
+const endBytes = len("\r\n\r\n")
+
+// Add appends the next bytes of the stream and returns the events that are now
+// complete, in a new slice. It fails with an *EventSizeError if an event has no end
+// within MaxEventBytes.
+func (s *Splitter) Add(p []byte) (Events, error) {
+	// The end of an event may have begun in the bytes before.
+	searched := max(len(s.partial)-endBytes+1, 0)
 	s.partial = append(s.partial, p...)
-	end := lastEventEnd(s.partial)
+	end := lastEventEnd(s.partial[searched:])
 	if end == 0 {
-		return nil, 0, 0
+		if len(s.partial) > MaxEventBytes {
+			return Events{}, &EventSizeError{}
+		}
+		return Events{}, nil
 	}
-	whole = bytes.Clone(s.partial[:end])
+	end += searched
+	events := Events{Bytes: bytes.Clone(s.partial[:end])}
 	s.partial = append(s.partial[:0], s.partial[end:]...)
-	first, last = eventIDs(whole)
-	return whole, first, last
+	events.readFields()
+	return events, nil
 }
 
 // Rest returns the bytes after the last complete event and resets the Splitter.
@@ -46,11 +55,15 @@
 	return end
 }
 
-// eventIDs returns the first and the last numeric id field; 0 if there is none.
-func eventIDs(p []byte) (first, last int64) {
-	for len(p) > 0 {
+// readFields sets what the fields of the events tell.
+func (e *Events) readFields() {
+	for p := e.Bytes; len(p) > 0; {
 		line, rest, _ := bytes.Cut(p, []byte("\n"))
 		p = rest
+		if bytes.HasPrefix(line, []byte("data")) {
+			e.HasData = true
+			continue
+		}
 		value, ok := bytes.CutPrefix(line, []byte("id:"))
 		if !ok {
 			continue
@@ -59,10 +72,9 @@
 		if err != nil {
 			continue
 		}
-		if first == 0 {
-			first = n
+		if e.First == 0 {
+			e.First = n
 		}
-		last = n
+		e.Last = n
 	}
-	return first, last
 }
--- a/edge/sse/splitter_test.go
+++ b/edge/sse/splitter_test.go
@@ -19,11 +19,13 @@
 		const stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
 		for cut := range len(stream) {
 			var s sse.Splitter
-			first, _, _ := s.Add([]byte(stream[:cut]))
-			second, _, last := s.Add([]byte(stream[cut:]))
-			Expect(string(first) + string(second)).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
-			if len(second) > 0 {
-				Expect(last).To(Equal(int64(2)))
+			first, err := s.Add([]byte(stream[:cut]))
+			Expect(err).NotTo(HaveOccurred())
+			second, err := s.Add([]byte(stream[cut:]))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(first.Bytes) + string(second.Bytes)).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+			if len(second.Bytes) > 0 {
+				Expect(second.Last).To(Equal(int64(2)))
 			}
 			Expect(string(s.Rest())).To(Equal("id: 3\nda"))
 		}
@@ -31,9 +33,31 @@
 
 	It("returns the ids of the first and the last event", func() {
 		var s sse.Splitter
-		_, first, last := s.Add([]byte("id: 7\n\ndata: x\n\nid:9\r\n\r\n"))
-		Expect(first).To(Equal(int64(7)))
-		Expect(last).To(Equal(int64(9)))
+		events, err := s.Add([]byte("id: 7\n\ndata: x\n\nid:9\r\n\r\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(events.First).To(Equal(int64(7)))
+		Expect(events.Last).To(Equal(int64(9)))
+		Expect(events.HasData).To(BeTrue())
+	})
+
+	It("tells comments from events with data", func() {
+		var s sse.Splitter
+		events, err := s.Add([]byte(": still there\n\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(events.Bytes).NotTo(BeEmpty())
+		Expect(events.HasData).To(BeFalse())
+	})
+
+	It("rejects an event without an end", func() {
+		var s sse.Splitter
+		var err error
+		added := 0
+		for err == nil && added < 3*sse.MaxEventBytes {
+			_, err = s.Add(make([]byte, 1<<12))
+			added += 1 << 12
+		}
+		Expect(err).To(BeAssignableToTypeOf(&sse.EventSizeError{}))
+		Expect(added).To(BeNumerically("<=", sse.MaxEventBytes+1<<12))
 	})
 })
 
@@ -42,9 +66,15 @@
 	f.Fuzz(func(t *testing.T, p []byte, cut int) {
 		cut = min(max(cut, 0), len(p))
 		var s sse.Splitter
-		a, _, _ := s.Add(p[:cut])
-		b, _, _ := s.Add(p[cut:])
-		if got := string(a) + string(b) + string(s.Rest()); got != string(p) {
+		a, err := s.Add(p[:cut])
+		if err != nil {
+			return
+		}
+		b, err := s.Add(p[cut:])
+		if err != nil {
+			return
+		}
+		if got := string(a.Bytes) + string(b.Bytes) + string(s.Rest()); got != string(p) {
 			t.Fatalf("got %q, want the bytes of the stream %q", got, p)
 		}
 	})
--- a/proof/measure/stream_sink.go
+++ b/proof/measure/stream_sink.go
@@ -17,7 +17,7 @@
 func (s *streamSink) Head(int, http.Header) { _ = s.begun.Offer(true) }
 
 // Body implements httpc.Sink.
-func (*streamSink) Body([]byte) {}
+func (*streamSink) Body([]byte) error { return nil }
 
 // Done implements httpc.Sink.
 func (s *streamSink) Done() { _ = s.ended.Offer(nil) }
--- a/serving/relay/body_chunk.go
+++ b/serving/relay/body_chunk.go
@@ -8,4 +8,11 @@
 	// FirstEvent and LastEvent are the numbers of the first and last event in
 	// Bytes; 0 if the events have no numbers.
 	FirstEvent, LastEvent int64
+	// HasData is set if Bytes holds an event with data.
+	HasData bool
+}
+
+// isProgress reports whether a stream has made progress. Comments alone are none.
+func (b BodyChunk) isProgress() bool {
+	return b.HasData || b.LastEvent > 0
 }
--- a/serving/relay/core_done.go
+++ b/serving/relay/core_done.go
@@ -34,9 +34,7 @@
 	c.endAttempt(s)
 	c.counts.Answered++
 	if !s.abandoned {
-		if !s.streamStarted {
-			c.emit(StartStream{Ref: a.ref})
-		}
+		c.startStream(s, a)
 		c.emit(EndStream{Handle: a.ref.Handle})
 	}
 	c.endRequest(s, Answered, false, now)
--- a/serving/relay/core_response.go
+++ b/serving/relay/core_response.go
@@ -10,6 +10,9 @@
 const (
 	// lowestPriority is the priority of requests that an engine runs last.
 	lowestPriority = 9
+	// maxHeldBytes bounds the comments before the first event of a stream that are
+	// held back, so that the request can still be sent to another upstream.
+	maxHeldBytes = 64 << 10
 	// plainLatencyWeight is the weight of one response in the latency of requests
 	// without a prompt.
 	plainLatencyWeight = 0.1
@@ -38,13 +41,14 @@
 		a.body = append(a.body, chunk.Bytes...)
 		return
 	}
-	a.lastActivity = now
+	if chunk.isProgress() {
+		a.lastActivity = now
+	}
 	if chunk.LastEvent > 0 && chunk.LastEvent <= s.lastEvent {
 		return
 	}
-	c.recordFirstEvent(s, a, now)
-	if a.retryAt != 0 {
-		c.setRetryTimer(s, max(s.route.GapTarget, minEventTimeout), now)
+	if chunk.isProgress() {
+		c.recordProgress(s, a, now)
 	}
 	if chunk.LastEvent > 0 {
 		s.lastEvent = chunk.LastEvent
@@ -52,13 +56,36 @@
 	if s.abandoned {
 		return
 	}
-	if !s.streamStarted {
-		s.streamStarted = true
-		c.emit(StartStream{Ref: ref})
+	if !s.streamStarted && !chunk.isProgress() && len(a.body) < maxHeldBytes {
+		a.body = append(a.body, chunk.Bytes...)
+		return
 	}
+	c.startStream(s, a)
 	c.emit(WriteStream{Handle: ref.Handle, Bytes: chunk.Bytes})
 }
 
+// startStream sends the caller the head of the stream, and the comments before its
+// first event.
+func (c *Core) startStream(s *requestState, a *attempt) {
+	if s.streamStarted {
+		return
+	}
+	s.streamStarted = true
+	c.emit(StartStream{Ref: a.ref})
+	if len(a.body) > 0 {
+		c.emit(WriteStream{Handle: a.ref.Handle, Bytes: a.body})
+		a.body = nil
+	}
+}
+
+// recordProgress records that an attempt has got events that the caller lacks.
+func (c *Core) recordProgress(s *requestState, a *attempt, now clock.Instant) {
+	c.recordFirstEvent(s, a, now)
+	if a.retryAt != 0 {
+		c.setRetryTimer(s, max(s.route.GapTarget, minEventTimeout), now)
+	}
+}
+
 // recordFirstEvent records the first event of an attempt.
 func (c *Core) recordFirstEvent(s *requestState, a *attempt, now clock.Instant) {
 	if a.hasEvent {
--- a/serving/relay/relay_test.go
+++ b/serving/relay/relay_test.go
@@ -292,6 +292,30 @@
 		Entry("its share at a gateway that can't read what the others use", 300, 5.5, 44.0, 9*time.Second, true, 0, 1),
 	)
 
+	It("does not take comments for progress: a stream that only sends these is retried elsewhere", func() {
+		h.arrive("stream")
+		s := nextSend()
+		h.core.HeadReceived(s.Ref, sealedOK, h.now)
+		for range 5 {
+			h.core.BodyReceived(s.Ref, relay.BodyChunk{Bytes: []byte(": wait\n\n")}, h.now)
+			h.advance(50 * time.Millisecond)
+		}
+		again := nextSend()
+		Expect(again.Upstream.ID).NotTo(Equal(s.Upstream.ID))
+	})
+
+	It("lets a stream go on that is slow but makes progress", func() {
+		h.arrive("single")
+		s := nextSend()
+		h.core.HeadReceived(s.Ref, sealedOK, h.now)
+		for i := range int64(9) {
+			h.core.BodyReceived(s.Ref, relay.BodyChunk{Bytes: []byte("x"), FirstEvent: i + 1, LastEvent: i + 1, HasData: true}, h.now)
+			h.advance(100 * time.Millisecond)
+		}
+		h.core.ResponseEnded(s.Ref, h.now)
+		Expect(h.responses()).To(ContainElement(relay.EndStream{Handle: h.last}))
+	})
+
 	It("refuses a request that would miss its target by waiting behind others", func() {
 		h.upstreams("a")
 		prompt := &relay.Prompt{Tokens: 1000, Parts: []relay.PromptPart{{ID: 1, Tokens: 1000}}}
