entry: many changes of upstreams at once are logged as one line

Change: up to 16 changes in one response have a line each; more are summed up as upstreams_changed, with the single ones at level debug.

--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -41,6 +41,9 @@
 	// newsTimeout is the time after the news of a hub after which the store is called
 	// again.
 	newsTimeout = 1200 * time.Millisecond
+	// maxLoggedChanges is the number of changes of upstreams in one response up to
+	// which each is logged.
+	maxLoggedChanges = 16
 	// watchRetryDelay is the delay after a failed call.
 	watchRetryDelay = 150 * time.Millisecond
 	// recoveryGrace is the time after the store becomes available again in which
@@ -289,11 +292,18 @@
 		offerOrLog(w.dispatch, dispatchMessage(confirmUpstreams{}), w.log)
 		return
 	}
+	// Each change has a line of its own unless there are many at once.
+	level := zerolog.InfoLevel
+	if len(p.Rows) > maxLoggedChanges {
+		level = zerolog.DebugLevel
+	}
 	list := make(map[string]*catalog.Upstream)
+	removed := 0
 	for _, r := range p.Rows {
 		id := r.Key.Sort
 		if r.Removed {
-			w.log.Info().Str("upstream", id).Uint64("store_version", r.Version).Msg("upstream_removed")
+			removed++
+			w.log.WithLevel(level).Str("upstream", id).Uint64("store_version", r.Version).Msg("upstream_removed")
 			w.roster.Remove(id, now)
 			continue
 		}
@@ -306,10 +316,13 @@
 		list[id] = u
 		if !isList {
 			w.roster.Set(u)
-			w.log.Info().Str("upstream", id).Str("address", u.Address).Bool("leaving", u.Draining).
+			w.log.WithLevel(level).Str("upstream", id).Str("address", u.Address).Bool("leaving", u.Draining).
 				Uint64("store_version", r.Version).Msg("upstream_changed")
 		}
 	}
+	if !isList && level == zerolog.DebugLevel {
+		w.log.Info().Int("changed", len(list)).Int("removed", removed).Uint64("store_version", p.Version).Msg("upstreams_changed")
+	}
 	if isList {
 		w.roster.Replace(list, now)
 		w.log.Info().Int("upstreams", len(list)).Uint64("store_version", p.Version).Msg("upstreams_read")
--- a/edge/httpc/client_test.go
+++ b/edge/httpc/client_test.go
@@ -34,8 +34,8 @@
 	r.body = append(r.body, p...)
 	return nil
 }
-func (r *recorder) Done()                          { _ = r.ended.Offer(nil) }
-func (r *recorder) Failed(err error)               { _ = r.ended.Offer(err) }
+func (r *recorder) Done()            { _ = r.ended.Offer(nil) }
+func (r *recorder) Failed(err error) { _ = r.ended.Offer(err) }
 
 // testHandler replies to requests on a thread of its own, by their path.
 type testHandler struct {
--- a/edge/httpc/dialer_test.go
+++ b/edge/httpc/dialer_test.go
@@ -15,7 +15,7 @@
 type discardSink struct{}
 
 func (discardSink) Head(int, http.Header) {}
-func (discardSink) Body([]byte) error { return nil }
+func (discardSink) Body([]byte) error     { return nil }
 func (discardSink) Done()                 {}
 func (discardSink) Failed(error)          {}
 
