entry: a panic in the handling of one message no longer ends the process

Cause, from the failures that operators reported: an unexpected error in one handler ended its duty and with it the process and all its requests. Change: the dispatch, cluster, watch and peers duties log such a message with its stack and go on; a request whose handling panicked is closed without a word, since whether it ran is not known.

--- a/daemon/entry/coordinator.go
+++ b/daemon/entry/coordinator.go
@@ -85,6 +85,7 @@
 	clock     clock.Clock
 	log       zerolog.Logger
 
+	containment     containment
 	record          cluster.Record
 	records         *exchange.RecordLog
 	view            *cluster.View
@@ -130,7 +131,7 @@
 		}
 		now = c.clock.Now()
 		if ok {
-			c.handle(m, now)
+			c.containment.run(m, now, func() { c.handle(m, now) })
 		}
 		c.tick(now)
 	}
--- a/daemon/entry/dispatcher.go
+++ b/daemon/entry/dispatcher.go
@@ -39,9 +39,10 @@
 	log      zerolog.Logger
 	metrics  *metrics
 
-	requests   map[relay.Handle]*openRequest
-	exchanges  map[*httpd.Exchange]relay.Handle
-	lastHandle relay.Handle
+	containment containment
+	requests    map[relay.Handle]*openRequest
+	exchanges   map[*httpd.Exchange]relay.Handle
+	lastHandle  relay.Handle
 	// closesConnections makes each response the last one of its connection.
 	closesConnections bool
 
@@ -64,15 +65,28 @@
 			return nil
 		}
 		now = d.clock.Now()
-		if ok {
-			d.handle(m, now)
+		if ok && !d.containment.run(m, now, func() { d.handle(m, now) }) {
+			d.abandonMessage(m)
 		}
-		d.core.Tick(now)
-		d.runActions(now)
-		d.publishStats(now)
+		d.containment.run(nil, now, func() {
+			d.core.Tick(now)
+			d.runActions(now)
+			d.publishStats(now)
+		})
 	}
 }
 
+// abandonMessage closes the connection of a request whose handling panicked. The
+// caller is not told whether it has run, since that is not known.
+func (d *dispatcher) abandonMessage(m dispatchMessage) {
+	arrived, ok := m.(requestArrived)
+	if !ok || arrived.exchange == nil {
+		return
+	}
+	d.log.Error().Str("id", arrived.request.ID).Msg("request_abandoned")
+	arrived.exchange.Abort()
+}
+
 func (d *dispatcher) handle(m dispatchMessage, now clock.Instant) {
 	switch m := m.(type) {
 	case requestArrived:
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -151,6 +151,10 @@
 	if s.AdminAddress != "" {
 		e.admin = httpd.New(httpd.Config{Address: s.AdminAddress, Pollers: 1}, &admin{report: e.report, peers: e.peers.inbox, log: log})
 	}
+	e.dispatch.containment = containment{duty: "dispatch", log: log}
+	e.watch.containment = containment{duty: "watch", log: log}
+	e.cluster.containment = containment{duty: "cluster", log: log}
+	e.peers.containment = containment{duty: "peers", log: log}
 	e.registerSources()
 	return e
 }
--- a/daemon/entry/peers.go
+++ b/daemon/entry/peers.go
@@ -25,6 +25,8 @@
 	clock   clock.Clock
 	log     zerolog.Logger
 
+	containment containment
+
 	own     cluster.Record
 	plan    *exchange.Plan
 	records *exchange.RecordLog
@@ -69,7 +71,7 @@
 		}
 		now = p.clock.Now()
 		if ok {
-			p.handle(m, now)
+			p.containment.run(m, now, func() { p.handle(m, now) })
 		}
 		if !p.polling && !now.Before(p.pollAt) {
 			p.forwardRecords(false)
--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -66,6 +66,8 @@
 	// propagationLimit is the time within which a change must have taken effect.
 	propagationLimit time.Duration
 
+	containment containment
+
 	tables map[string]*watchedTable
 	roster *roster.Roster
 	config *catalog.Catalog
@@ -121,21 +123,26 @@
 			return nil
 		}
 		now = w.clock.Now()
-		switch {
-		case !ok:
-		case m.dump != nil:
-			_ = m.dump.Offer(report.Section{Name: "watch", State: w.dump(now)})
-		case m.role != nil:
-			w.isHub = m.role.isHub
-		case m.updates != nil:
-			w.handleNews(m.updates, now)
-		default:
-			w.handleResponse(m, now)
+		if ok {
+			w.containment.run(m, now, func() { w.handle(m, now) })
 		}
 		w.publish(now)
 	}
 }
 
+func (w *watch) handle(m watchMessage, now clock.Instant) {
+	switch {
+	case m.dump != nil:
+		_ = m.dump.Offer(report.Section{Name: "watch", State: w.dump(now)})
+	case m.role != nil:
+		w.isHub = m.role.isHub
+	case m.updates != nil:
+		w.handleNews(m.updates, now)
+	default:
+		w.handleResponse(m, now)
+	}
+}
+
 // timeout returns the time until a call, an expiry of the roster or another try to
 // publish is due.
 func (w *watch) timeout(now clock.Instant) time.Duration {
