entry: gateways that poll each other do not hold the store's clock back

Cause: hubs took the store's clock over from each other's news. What passes on the way makes each estimate too early, so that theirs fell behind by up to 80 ms a second until the next read of the store, and past 200 ms all gateways followed: they counted requests in the wrong usage windows.

Change: another gateway's estimate is taken over only if it is later, as after a suspension. A record counts as published 3 s before it was seen at the earliest.

--- a/daemon/entry/coordinator.go
+++ b/daemon/entry/coordinator.go
@@ -43,9 +43,9 @@
 	peerListInterval = 10 * time.Second
 	// maxNewsSilence is the time without news of a hub after which a gateway reads the
 	// records itself.
-	maxNewsSilence = 1500 * time.Millisecond
-	// maxClockError is the difference from a hub's estimate of the store's clock from
-	// which this gateway's estimate is replaced: the process was suspended.
+	maxNewsSilence = 2 * time.Second
+	// maxClockError is how far a hub's estimate of the store's clock may be ahead of
+	// this gateway's. Beyond that the process was suspended, and takes it over.
 	maxClockError = 200 * time.Millisecond
 	// liveHeartbeats is the number of heartbeat intervals after which a gateway whose
 	// record has not changed is left out of the directory.
--- a/daemon/entry/coordinator_records.go
+++ b/daemon/entry/coordinator_records.go
@@ -161,7 +161,7 @@
 	if !m.fromHub {
 		return
 	}
-	if m.clock != 0 && (c.storeNow(now)-m.clock).Abs() > maxClockError {
+	if m.clock-c.storeNow(now) > maxClockError {
 		c.storeClock, c.storeClockReadAt = m.clock, now
 	}
 	c.newsAt = now
@@ -239,7 +239,7 @@
 		return
 	}
 	isHub := slices.Contains(names, c.record.Instance)
-	if c.peers.Offer(setHubs{hubs: hubs}) != nil || c.watch.Offer(watchMessage{role: &watchRole{isHub: isHub}}) != nil {
+	if c.peers.Offer(setHubs{hubs: hubs, gateways: len(ready)}) != nil || c.watch.Offer(watchMessage{role: &watchRole{isHub: isHub}}) != nil {
 		return
 	}
 	c.hubs = names
--- a/daemon/entry/peers.go
+++ b/daemon/entry/peers.go
@@ -95,7 +95,7 @@
 			p.pollAt = now
 		}
 	case setHubs:
-		p.plan.SetHubs(m.hubs)
+		p.plan.SetHubs(m.hubs, m.gateways)
 	case recordsKnown:
 		mergeRecords(p.records, m, m.clock)
 		p.setStoreClock(m.clock, now)
@@ -153,7 +153,7 @@
 	for _, r := range m.news.Records {
 		p.records.Put(r)
 	}
-	p.setStoreClock(m.news.Clock, now)
+	p.advanceStoreClock(m.news.Clock, now)
 	p.forwardRecords(true)
 	p.applyTables(m.news.Tables, m.sentAt)
 }
@@ -204,6 +204,14 @@
 	}
 }
 
+// advanceStoreClock takes over another gateway's estimate of the store's clock if
+// it is later. What has passed since makes each estimate too early, so that gateways
+// that took them over from each other would fall behind more and more.
+func (p *peers) advanceStoreClock(storeClock time.Duration, now clock.Instant) {
+	p.storeClock = max(p.storeClock, storeClock-time.Duration(now))
+}
+
+// setStoreClock sets the store's clock as just read.
 func (p *peers) setStoreClock(storeClock time.Duration, now clock.Instant) {
 	if storeClock != 0 {
 		p.storeClock = storeClock - time.Duration(now)
--- a/daemon/entry/peers_test.go
+++ b/daemon/entry/peers_test.go
@@ -136,7 +136,7 @@
 		for _, g := range list {
 			Expect(g.duty.inbox.Offer(recordsKnown{clock: time.Minute})).To(Succeed())
 			Expect(g.duty.inbox.Offer(setOwnRecord{record: g.record})).To(Succeed())
-			Expect(g.duty.inbox.Offer(setHubs{hubs: hubs})).To(Succeed())
+			Expect(g.duty.inbox.Offer(setHubs{hubs: hubs, gateways: len(list)})).To(Succeed())
 		}
 	})
 	confirm := func(hub *peerGateway, version uint64, full bool, entries ...exchange.Entry) {
--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -40,7 +40,7 @@
 	hubBatchDelay = 300 * time.Millisecond
 	// newsTimeout is the time after the news of a hub after which the store is called
 	// again.
-	newsTimeout = 1200 * time.Millisecond
+	newsTimeout = 1400 * time.Millisecond
 	// maxLoggedChanges is the number of changes of upstreams in one response up to
 	// which each is logged.
 	maxLoggedChanges = 16
--- a/serving/cluster/peer.go
+++ b/serving/cluster/peer.go
@@ -13,6 +13,7 @@
 	// in the same way.
 	writtenAt clock.Instant
 	// publishedAt is when the record was written by its writer's clock, or first seen
-	// if that is not known. It is never moved.
+	// if that is not known, but at most maxRecordDelay before it was seen. It is never
+	// moved.
 	publishedAt clock.Instant
 }
--- a/serving/cluster/view.go
+++ b/serving/cluster/view.go
@@ -54,7 +54,7 @@
 		p := v.peers[record.Instance]
 		isNew := p == nil
 		if isNew {
-			p = &peer{changedAt: now, publishedAt: now.Add(-record.Age), writtenAt: now}
+			p = &peer{changedAt: now, publishedAt: publishedAt(record, now), writtenAt: now}
 			if anyRecent {
 				p.writtenAt = now.Add(-record.Age)
 			}
@@ -62,7 +62,7 @@
 		}
 		p.previous, p.record = p.record, record
 		if !isNew && (p.previous.Sequence != record.Sequence || p.previous.Incarnation != record.Incarnation) {
-			p.changedAt, p.publishedAt = now, now.Add(-record.Age)
+			p.changedAt, p.publishedAt = now, publishedAt(record, now)
 			// The record changed, so it was written after the previous read.
 			p.writtenAt = max(now.Add(-record.Age), previousRead)
 		}
@@ -74,6 +74,15 @@
 	}
 }
 
+// maxRecordDelay bounds the time from the write of a record until it is read. An
+// older one has a writer whose clock is wrong.
+const maxRecordDelay = 3 * time.Second
+
+// publishedAt returns when a record was written that has just been read.
+func publishedAt(record Record, now clock.Instant) clock.Instant {
+	return now.Add(-min(record.Age, maxRecordDelay))
+}
+
 // Live returns the records of the live gateways, ordered by name.
 func (v *View) Live() []Record {
 	return v.list(func(p *peer) bool { return v.lastRead.Sub(p.writtenAt) < v.liveTimeout })
--- a/serving/exchange/exchange_test.go
+++ b/serving/exchange/exchange_test.go
@@ -217,7 +217,7 @@
 var _ = Describe("Plan", func() {
 	It("polls a hub of its failure domain, another one while that does not answer", func() {
 		p := exchange.NewPlan("gateway-1-7", "domain-1")
-		p.SetHubs(exchange.Hubs(gateways(3, 10)))
+		p.SetHubs(exchange.Hubs(gateways(3, 10)), 30)
 		first, ok := p.Next(at(0))
 		Expect(ok).To(BeTrue())
 		Expect(first.FailureDomain).To(Equal("domain-1"))
@@ -229,10 +229,20 @@
 		Expect(again.Instance).To(Equal(first.Instance))
 	})
 
+	It("polls less often in a large cluster, but not so seldom that news gets old", func() {
+		p := exchange.NewPlan("x", "domain-0")
+		hubs := exchange.Hubs(gateways(2, 5))
+		p.SetHubs(hubs, 10)
+		small := p.Interval()
+		p.SetHubs(hubs, 1000)
+		Expect(p.Interval()).To(BeNumerically(">", small))
+		Expect(p.Interval()).To(BeNumerically("<=", time.Second))
+	})
+
 	It("polls nothing while no hub answers", func() {
 		p := exchange.NewPlan("x", "domain-0")
 		hubs := exchange.Hubs(gateways(2, 5))
-		p.SetHubs(hubs)
+		p.SetHubs(hubs, 10)
 		for range hubs {
 			hub, ok := p.Next(at(0))
 			Expect(ok).To(BeTrue())
@@ -245,7 +255,7 @@
 	It("lets a hub poll all others in turn", func() {
 		hubs := exchange.Hubs(gateways(5, 8))
 		p := exchange.NewPlan(hubs[0].Instance, hubs[0].FailureDomain)
-		p.SetHubs(hubs)
+		p.SetHubs(hubs, 40)
 		Expect(p.IsHub()).To(BeTrue())
 		polled := map[string]bool{}
 		for range len(hubs) - 1 {
--- a/serving/exchange/plan.go
+++ b/serving/exchange/plan.go
@@ -11,10 +11,14 @@
 )
 
 const (
-	// PollInterval is the time between two polls of a gateway.
-	PollInterval = 500 * time.Millisecond
+	// minPollInterval and maxPollInterval bound the time between two polls of a
+	// gateway, and pollIntervalPerGateway is that time for each gateway: the size of
+	// the news grows with their number.
+	minPollInterval        = 500 * time.Millisecond
+	maxPollInterval        = 900 * time.Millisecond
+	pollIntervalPerGateway = 8 * time.Millisecond
 	// minHubPollInterval is the least time between two polls of a hub, which polls all
-	// other hubs in turn within PollInterval.
+	// other hubs in turn within the interval of the others.
 	minHubPollInterval = 100 * time.Millisecond
 	// failureBackoff is how long a hub that did not answer is not polled.
 	failureBackoff = 3 * time.Second
@@ -25,6 +29,7 @@
 	instance      string
 	failureDomain string
 	isHub         bool
+	gateways      int
 	// targets are the hubs to poll, the preferred one first.
 	targets []cluster.Record
 	next    int // of targets, if this gateway is a hub
@@ -37,10 +42,11 @@
 	return &Plan{instance: instance, failureDomain: failureDomain, failedUntil: make(map[string]clock.Instant)}
 }
 
-// SetHubs sets the hubs. A gateway prefers the hubs of its failure domain, and
+// SetHubs sets the hubs and the number of gateways. A gateway prefers the hubs of its failure domain, and
 // among these one by a hash, so that each hub has about as many gateways.
-func (p *Plan) SetHubs(hubs []cluster.Record) {
+func (p *Plan) SetHubs(hubs []cluster.Record, gateways int) {
 	p.isHub = false
+	p.gateways = gateways
 	p.targets = p.targets[:0]
 	for _, hub := range hubs {
 		if hub.Instance == p.instance {
@@ -66,10 +72,11 @@
 
 // Interval returns the time between two polls.
 func (p *Plan) Interval() time.Duration {
+	interval := min(max(time.Duration(p.gateways)*pollIntervalPerGateway, minPollInterval), maxPollInterval)
 	if p.isHub {
-		return max(PollInterval/time.Duration(max(len(p.targets), 1)), minHubPollInterval)
+		return max(interval/time.Duration(max(len(p.targets), 1)), minHubPollInterval)
 	}
-	return PollInterval
+	return interval
 }
 
 // Next returns the hub to poll. It reports false if there is none.
