exchange: the estimate of the store's clock is a part of its own, with a test

The drift that mended is shown without a network: five hubs that tell each other with 15 ms of delay stay where the store is (store_clock_test.go; with the former rule they fall behind by the delay each time).

--- a/daemon/entry/peers.go
+++ b/daemon/entry/peers.go
@@ -34,13 +34,12 @@
 	// positions holds, by hub, the last news from it.
 	positions map[string]exchange.News
 	// forwarded is the position in records up to which the cluster duty has them.
-	forwarded uint64
-	polling   bool
-	pollAt    clock.Instant
-	newsAt    clock.Instant // of the last news
-	lastHub   string
-	// storeClock is the store's clock minus the monotonic clock; 0 if not known.
-	storeClock time.Duration
+	forwarded  uint64
+	polling    bool
+	pollAt     clock.Instant
+	newsAt     clock.Instant // of the last news
+	lastHub    string
+	storeClock exchange.StoreClock
 
 	polls, failures, answered uint64
 }
@@ -98,7 +97,9 @@
 		p.plan.SetHubs(m.hubs, m.gateways)
 	case recordsKnown:
 		mergeRecords(p.records, m, m.clock)
-		p.setStoreClock(m.clock, now)
+		if m.clock != 0 {
+			p.storeClock.Read(m.clock, now)
+		}
 	case dumpPeers:
 		_ = m.reply.Offer(report.Section{Name: "peers", State: p.dump(now)})
 	}
@@ -153,7 +154,7 @@
 	for _, r := range m.news.Records {
 		p.records.Put(r)
 	}
-	p.advanceStoreClock(m.news.Clock, now)
+	p.storeClock.Heard(m.news.Clock, now)
 	p.forwardRecords(true)
 	p.applyTables(m.news.Tables, m.sentAt)
 }
@@ -195,29 +196,11 @@
 	if len(list) == 0 && !fromHub {
 		return
 	}
-	clockNow := time.Duration(0)
-	if p.storeClock != 0 {
-		clockNow = p.storeClock + time.Duration(p.clock.Now())
-	}
-	if p.cluster.Offer(recordsKnown{records: list, clock: clockNow, fromHub: fromHub}) == nil {
+	if p.cluster.Offer(recordsKnown{records: list, clock: p.storeClock.Now(p.clock.Now()), fromHub: fromHub}) == nil {
 		p.forwarded = last
 	}
 }
 
-// advanceStoreClock takes over another gateway's estimate of the store's clock if
-// it is later. What has passed since makes each estimate too early, so that gateways
-// that took them over from each other would fall behind more and more.
-func (p *peers) advanceStoreClock(storeClock time.Duration, now clock.Instant) {
-	p.storeClock = max(p.storeClock, storeClock-time.Duration(now))
-}
-
-// setStoreClock sets the store's clock as just read.
-func (p *peers) setStoreClock(storeClock time.Duration, now clock.Instant) {
-	if storeClock != 0 {
-		p.storeClock = storeClock - time.Duration(now)
-	}
-}
-
 // answer answers a poll with what has changed since the last one.
 func (p *peers) answer(m pollReceived, now clock.Instant) {
 	request, err := exchange.DecodePoll(m.exchange.Body)
@@ -228,7 +211,7 @@
 	}
 	p.answered++
 	p.records.Put(request.Record)
-	news := exchange.News{Hub: p.own.Incarnation, Clock: p.storeClock + time.Duration(now)}
+	news := exchange.News{Hub: p.own.Incarnation, Clock: p.storeClock.Now(now)}
 	position := request.Position
 	if request.Hub != news.Hub {
 		position = 0
@@ -240,7 +223,7 @@
 		}
 	}
 	body, err := news.Encode()
-	if err != nil || p.own.Instance == "" || p.storeClock == 0 {
+	if err != nil || p.own.Instance == "" || !p.storeClock.IsKnown() {
 		// This process does not know enough yet.
 		p.reply(m, http.StatusServiceUnavailable, nil)
 		return
