entry: calls that the store rejects for their number come back spread out

Cause, by reading: after a restart of all gateways each reads both tables whole, several pages of upstreams each, and a call that the store rejects with 429 came back after 0.15 s from its first page. Change: after 429 the delay grows with full jitter, up to 2 s, by coord/retry.

--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/coord/retry"
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
 	"github.com/sycamorecourse/sycamorecourse/daemon/report"
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
@@ -46,6 +48,9 @@
 	maxLoggedChanges = 16
 	// watchRetryDelay is the delay after a failed call.
 	watchRetryDelay = 150 * time.Millisecond
+	// maxThrottleDelay bounds what is added to that delay while the store is asked for
+	// more than it allows.
+	maxThrottleDelay = 2 * time.Second
 	// recoveryGrace is the time after the store becomes available again in which
 	// live upstreams write their entries anew.
 	recoveryGrace = 2 * time.Second
@@ -67,6 +72,9 @@
 	propagationLimit time.Duration
 
 	containment containment
+	// throttleBackoff spreads the calls of all gateways after the store has rejected
+	// some of them for their number.
+	throttleBackoff *retry.Backoff
 
 	tables map[string]*watchedTable
 	roster *roster.Roster
@@ -105,6 +113,8 @@
 func newWatch() *watch {
 	return &watch{
 		roster: roster.New(recoveryGrace),
+		throttleBackoff: retry.NewBackoff(
+			retry.Config{BaseBackoff: watchRetryDelay, MaxBackoff: maxThrottleDelay}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		tables: map[string]*watchedTable{
 			served.ConfigTable:   {table: served.ConfigTable, needsList: true},
 			served.UpstreamTable: {table: served.UpstreamTable, needsList: true},
@@ -223,6 +233,7 @@
 	t.version = p.Version
 	t.updatedAt = now
 	t.needsList = false
+	t.throttled = 0
 	if t.table == served.ConfigTable {
 		w.applyConfig(p)
 		return true
@@ -254,7 +265,7 @@
 }
 
 func (w *watch) handleFailure(t *watchedTable, err error, now clock.Instant) {
-	t.nextCallAt = now.Add(watchRetryDelay)
+	t.nextCallAt = now.Add(w.retryDelay(t, err))
 	var history *rows.HistoryError
 	if errors.As(err, &history) {
 		w.log.Info().Str("table", t.table).Msg("history_forgotten")
@@ -273,6 +284,17 @@
 	}
 }
 
+// retryDelay returns the delay after a failed call. It grows while the store is
+// asked for more than it allows: after a restart of all gateways each of them reads
+// whole tables, and calls that come back at once would keep it so.
+func (w *watch) retryDelay(t *watchedTable, err error) time.Duration {
+	if !rows.IsThrottled(err) {
+		return watchRetryDelay
+	}
+	t.throttled++
+	return watchRetryDelay + w.throttleBackoff.RandomDelay(t.throttled)
+}
+
 func (w *watch) applyConfig(p rows.Page) {
 	for _, r := range p.Rows {
 		if r.Key.Sort != served.ConfigKey || r.Removed {
--- a/daemon/entry/watched_table.go
+++ b/daemon/entry/watched_table.go
@@ -17,6 +17,9 @@
 	nextCallAt clock.Instant
 	// newsUntil is until when the news of a hub replace calls to the store.
 	newsUntil clock.Instant
+	// throttled counts the calls that the store has rejected for their number since
+	// the last successful one.
+	throttled int
 	// isUnavailable is set after a failed call until the next successful one.
 	isUnavailable bool
 	// updatedAt is the time of the last successful call.
