--- /dev/null
+++ b/serving/cluster/fuzz_test.go
@@ -0,0 +1,24 @@
+package cluster_test
+
+import (
+	"testing"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
+)
+
+func FuzzDecode(f *testing.F) {
+	value, _ := cluster.Record{Instance: "a", Demand: map[string]float64{"x": 2}}.Encode()
+	f.Add(value)
+	f.Fuzz(func(_ *testing.T, value []byte) {
+		r, err := cluster.Decode("a", value)
+		if err != nil {
+			return
+		}
+		v := cluster.NewView(1, 1)
+		v.Update([]cluster.Record{r}, clock.Instant(1))
+		v.Update([]cluster.Record{r}, clock.Instant(2))
+		_ = v.Divide("b", clock.Instant(2))
+		_, _ = v.ClockOffset()
+	})
+}
--- a/serving/relay/relay_test.go
+++ b/serving/relay/relay_test.go
@@ -292,6 +292,28 @@
 		Entry("its share at a gateway that can't read what the others use", 300, 5.5, 44.0, 9*time.Second, true, 0, 1),
 	)
 
+	It("neither repeats nor gives up what runs at an upstream that falls silent for the store", func() {
+		h.arrive("stream")
+		s := nextSend()
+		h.core.HeadReceived(s.Ref, sealedOK, h.now)
+		h.core.BodyReceived(s.Ref, relay.BodyChunk{Bytes: []byte("1"), FirstEvent: 1, LastEvent: 1, HasData: true}, h.now)
+		other := "a"
+		if s.Upstream.ID == "a" {
+			other = "b"
+		}
+		h.upstreams(other)
+		h.advance(100 * time.Millisecond)
+		h.core.BodyReceived(s.Ref, relay.BodyChunk{Bytes: []byte("2"), FirstEvent: 2, LastEvent: 2, HasData: true}, h.now)
+		h.upstreams("a", "b")
+		h.core.ResponseEnded(s.Ref, h.now)
+		actions := h.core.Actions()
+		for _, a := range actions {
+			Expect(a).NotTo(BeAssignableToTypeOf(relay.Send{}))
+			Expect(a).NotTo(BeAssignableToTypeOf(relay.Cancel{}))
+		}
+		Expect(actions).To(ContainElement(relay.EndStream{Handle: h.last}))
+	})
+
 	It("does not take comments for progress: a stream that only sends these is retried elsewhere", func() {
 		h.arrive("stream")
 		s := nextSend()
