--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
@@ -14,7 +13,6 @@
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/platform/served"
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
-	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
 	"github.com/sycamorecourse/sycamorecourse/serving/roster"
 )
 
@@ -92,24 +90,6 @@
 	fleetChanged bool
 }
 
-// feedWait returns how long the store holds a feed request open.
-func (w *watch) feedWait() time.Duration {
-	wait := min(max(time.Duration(feedWaitShare*float64(w.propagationLimit)), minFeedWait), maxFeedWait)
-	if w.isHub {
-		return min(wait, hubFeedWait)
-	}
-	return wait
-}
-
-// batchDelay returns the delay of the next call after a change of the upstreams.
-func (w *watch) batchDelay() time.Duration {
-	if w.isHub {
-		return hubBatchDelay
-	}
-	delay := baseBatchDelay + time.Duration(w.roster.Len())*batchDelayPerUpstream
-	return min(delay, time.Duration(maxBatchDelayShare*float64(w.propagationLimit)))
-}
-
 func newWatch() *watch {
 	return &watch{
 		roster: roster.New(recoveryGrace),
@@ -171,194 +151,6 @@
 	return max(wait, 0)
 }
 
-// callDue returns when the next call for a table is due.
-func (w *watch) callDue(t *watchedTable) clock.Instant {
-	if w.isHub || t.needsList {
-		return t.nextCallAt
-	}
-	return max(t.nextCallAt, t.newsUntil)
-}
-
-func (w *watch) startCall(t *watchedTable, now clock.Instant) {
-	if t.calling || now.Before(w.callDue(t)) {
-		return
-	}
-	if err := w.inbox.Reserve(); err != nil {
-		t.nextCallAt = now.Add(watchRetryDelay)
-		return
-	}
-	t.calling = true
-	isList := t.needsList
-	done := func(p rows.Page, err error) {
-		offerResult(w.inbox, watchMessage{table: t.table, isList: isList, page: p, err: err}, w.log)
-	}
-	if isList {
-		w.store.List(t.table, "", done)
-		return
-	}
-	w.store.Feed(t.table, t.version, w.feedWait(), done)
-}
-
-func (w *watch) handleResponse(m watchMessage, now clock.Instant) {
-	t := w.tables[m.table]
-	t.calling = false
-	if m.err != nil {
-		w.handleFailure(t, m.err, now)
-		return
-	}
-	if !w.accept(t, m.page, m.isList, now) {
-		// The response shows an older state than an earlier one.
-		t.nextCallAt = now.Add(watchRetryDelay)
-		return
-	}
-	if len(m.page.Rows) > 0 && t.table == served.UpstreamTable {
-		t.nextCallAt = now.Add(w.batchDelay())
-	}
-	w.sharePage(t, m.page, m.isList)
-}
-
-// accept applies what the store or a hub has returned for a table. It returns false
-// if that is older than what is known.
-func (w *watch) accept(t *watchedTable, p rows.Page, isList bool, now clock.Instant) bool {
-	if t.isUnavailable {
-		t.isUnavailable = false
-		w.log.Info().Str("dependency", "store").Str("by", t.table).Msg("dependency_back")
-	}
-	if t.table == served.UpstreamTable {
-		w.roster.StoreAvailable(now)
-	}
-	if p.Version < t.version {
-		return false
-	}
-	t.version = p.Version
-	t.updatedAt = now
-	t.needsList = false
-	t.throttled = 0
-	if t.table == served.ConfigTable {
-		w.applyConfig(p)
-		return true
-	}
-	w.applyUpstreams(p, isList, now)
-	return true
-}
-
-// handleNews applies what a hub knows of the tables to be current.
-func (w *watch) handleNews(updates []exchange.TableUpdate, now clock.Instant) {
-	for _, u := range updates {
-		t := w.tables[u.Table]
-		if t == nil || (t.version == 0 && !u.Full) {
-			continue
-		}
-		if w.accept(t, pageOf(u), u.Full, now) {
-			t.newsUntil = now.Add(newsTimeout)
-		}
-	}
-}
-
-// sharePage hands what the store has returned to the peers duty. If that has no
-// room, the whole table is read again, since the peers duty must not miss a change.
-func (w *watch) sharePage(t *watchedTable, p rows.Page, isList bool) {
-	if err := w.peers.Offer(tableRead{update: updateOf(t.table, p, isList)}); err != nil {
-		w.log.Warn().Str("cause", err.Error()).Msg("message_dropped")
-		t.needsList = true
-	}
-}
-
-func (w *watch) handleFailure(t *watchedTable, err error, now clock.Instant) {
-	t.nextCallAt = now.Add(w.retryDelay(t, err))
-	var history *rows.HistoryError
-	if errors.As(err, &history) {
-		w.log.Info().Str("table", t.table).Msg("history_forgotten")
-		t.needsList = true
-		t.nextCallAt = now
-		return
-	}
-	if t.table == served.UpstreamTable {
-		w.roster.StoreUnavailable()
-	}
-	offerOrLog(w.peers, peerMessage(tableRead{update: exchange.TableUpdate{Table: t.table}, failed: true}), w.log)
-	w.log.Debug().Str("table", t.table).Str("cause", err.Error()).Msg("watch_failed")
-	if !t.isUnavailable {
-		t.isUnavailable = true
-		w.log.Warn().Str("dependency", "store").Str("by", t.table).Str("cause", err.Error()).Msg("dependency_lost")
-	}
-}
-
-// retryDelay returns the delay after a failed call. It grows while the store is
-// asked for more than it allows: after a restart of all gateways each of them reads
-// whole tables, and calls that come back at once would keep it so.
-func (w *watch) retryDelay(t *watchedTable, err error) time.Duration {
-	if !rows.IsThrottled(err) {
-		return watchRetryDelay
-	}
-	t.throttled++
-	return watchRetryDelay + w.throttleBackoff.RandomDelay(t.throttled)
-}
-
-func (w *watch) applyConfig(p rows.Page) {
-	for _, r := range p.Rows {
-		if r.Key.Sort != served.ConfigKey || r.Removed {
-			continue
-		}
-		next, err := served.DecodeConfig(r.Value)
-		if err != nil {
-			w.log.Warn().Str("cause", err.Error()).Msg("row_ignored")
-			continue
-		}
-		if w.config != nil && next.Version <= w.config.Version {
-			continue
-		}
-		w.config = next
-		w.log.Info().Uint64("config", next.Version).Uint64("store_version", r.Version).
-			Int("routes", next.RouteCount()).Int("customers", len(next.Customers)).Msg("config_in_force")
-		w.configChanged = true
-		w.fleetChanged = true
-	}
-}
-
-func (w *watch) applyUpstreams(p rows.Page, isList bool, now clock.Instant) {
-	if len(p.Rows) == 0 && !isList {
-		offerOrLog(w.dispatch, dispatchMessage(confirmUpstreams{}), w.log)
-		return
-	}
-	// Each change has a line of its own unless there are many at once.
-	level := zerolog.InfoLevel
-	if len(p.Rows) > maxLoggedChanges {
-		level = zerolog.DebugLevel
-	}
-	list := make(map[string]*catalog.Upstream)
-	removed := 0
-	for _, r := range p.Rows {
-		id := r.Key.Sort
-		if r.Removed {
-			removed++
-			w.log.WithLevel(level).Str("upstream", id).Uint64("store_version", r.Version).Msg("upstream_removed")
-			w.roster.Remove(id, now)
-			continue
-		}
-		u, err := served.DecodeUpstream(id, r.Value)
-		if err != nil {
-			w.log.Warn().Str("cause", err.Error()).Msg("row_ignored")
-			w.roster.Remove(id, now)
-			continue
-		}
-		list[id] = u
-		if !isList {
-			w.roster.Set(u)
-			w.log.WithLevel(level).Str("upstream", id).Str("address", u.Address).Bool("leaving", u.Draining).
-				Uint64("store_version", r.Version).Msg("upstream_changed")
-		}
-	}
-	if !isList && level == zerolog.DebugLevel {
-		w.log.Info().Int("changed", len(list)).Int("removed", removed).Uint64("store_version", p.Version).Msg("upstreams_changed")
-	}
-	if isList {
-		w.roster.Replace(list, now)
-		w.log.Info().Int("upstreams", len(list)).Uint64("store_version", p.Version).Msg("upstreams_read")
-	}
-	w.upstreamsChanged = true
-}
-
 // publish sends changes to the other duties; what finds no room in a ring is sent
 // again later. Once dispatch has a configuration and a list of upstreams, it
 // announces that this process can serve requests.
--- /dev/null
+++ b/daemon/entry/watch_apply.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"github.com/rs/zerolog"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/platform/rows"
+	"github.com/sycamorecourse/sycamorecourse/platform/served"
+	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
+	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
+)
+
+// accept applies what the store or a hub has returned for a table. It returns false
+// if that is older than what is known.
+func (w *watch) accept(t *watchedTable, p rows.Page, isList bool, now clock.Instant) bool {
+	if t.isUnavailable {
+		t.isUnavailable = false
+		w.log.Info().Str("dependency", "store").Str("by", t.table).Msg("dependency_back")
+	}
+	if t.table == served.UpstreamTable {
+		w.roster.StoreAvailable(now)
+	}
+	if p.Version < t.version {
+		return false
+	}
+	t.version = p.Version
+	t.updatedAt = now
+	t.needsList = false
+	t.throttled = 0
+	if t.table == served.ConfigTable {
+		w.applyConfig(p)
+		return true
+	}
+	w.applyUpstreams(p, isList, now)
+	return true
+}
+
+// handleNews applies what a hub knows of the tables to be current.
+func (w *watch) handleNews(updates []exchange.TableUpdate, now clock.Instant) {
+	for _, u := range updates {
+		t := w.tables[u.Table]
+		if t == nil || (t.version == 0 && !u.Full) {
+			continue
+		}
+		if w.accept(t, pageOf(u), u.Full, now) {
+			t.newsUntil = now.Add(newsTimeout)
+		}
+	}
+}
+
+// sharePage hands what the store has returned to the peers duty. If that has no
+// room, the whole table is read again, since the peers duty must not miss a change.
+func (w *watch) sharePage(t *watchedTable, p rows.Page, isList bool) {
+	if err := w.peers.Offer(tableRead{update: updateOf(t.table, p, isList)}); err != nil {
+		w.log.Warn().Str("cause", err.Error()).Msg("message_dropped")
+		t.needsList = true
+	}
+}
+
+func (w *watch) applyConfig(p rows.Page) {
+	for _, r := range p.Rows {
+		if r.Key.Sort != served.ConfigKey || r.Removed {
+			continue
+		}
+		next, err := served.DecodeConfig(r.Value)
+		if err != nil {
+			w.log.Warn().Str("cause", err.Error()).Msg("row_ignored")
+			continue
+		}
+		if w.config != nil && next.Version <= w.config.Version {
+			continue
+		}
+		w.config = next
+		w.log.Info().Uint64("config", next.Version).Uint64("store_version", r.Version).
+			Int("routes", next.RouteCount()).Int("customers", len(next.Customers)).Msg("config_in_force")
+		w.configChanged = true
+		w.fleetChanged = true
+	}
+}
+
+func (w *watch) applyUpstreams(p rows.Page, isList bool, now clock.Instant) {
+	if len(p.Rows) == 0 && !isList {
+		offerOrLog(w.dispatch, dispatchMessage(confirmUpstreams{}), w.log)
+		return
+	}
+	// Each change has a line of its own unless there are many at once.
+	level := zerolog.InfoLevel
+	if len(p.Rows) > maxLoggedChanges {
+		level = zerolog.DebugLevel
+	}
+	list := make(map[string]*catalog.Upstream)
+	removed := 0
+	for _, r := range p.Rows {
+		id := r.Key.Sort
+		if r.Removed {
+			removed++
+			w.log.WithLevel(level).Str("upstream", id).Uint64("store_version", r.Version).Msg("upstream_removed")
+			w.roster.Remove(id, now)
+			continue
+		}
+		u, err := served.DecodeUpstream(id, r.Value)
+		if err != nil {
+			w.log.Warn().Str("cause", err.Error()).Msg("row_ignored")
+			w.roster.Remove(id, now)
+			continue
+		}
+		list[id] = u
+		if !isList {
+			w.roster.Set(u)
+			w.log.WithLevel(level).Str("upstream", id).Str("address", u.Address).Bool("leaving", u.Draining).
+				Uint64("store_version", r.Version).Msg("upstream_changed")
+		}
+	}
+	if !isList && level == zerolog.DebugLevel {
+		w.log.Info().Int("changed", len(list)).Int("removed", removed).Uint64("store_version", p.Version).Msg("upstreams_changed")
+	}
+	if isList {
+		w.roster.Replace(list, now)
+		w.log.Info().Int("upstreams", len(list)).Uint64("store_version", p.Version).Msg("upstreams_read")
+	}
+	w.upstreamsChanged = true
+}
--- /dev/null
+++ b/daemon/entry/watch_calls.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/platform/rows"
+	"github.com/sycamorecourse/sycamorecourse/platform/served"
+	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
+)
+
+// feedWait returns how long the store holds a feed request open.
+func (w *watch) feedWait() time.Duration {
+	wait := min(max(time.Duration(feedWaitShare*float64(w.propagationLimit)), minFeedWait), maxFeedWait)
+	if w.isHub {
+		return min(wait, hubFeedWait)
+	}
+	return wait
+}
+
+// batchDelay returns the delay of the next call after a change of the upstreams.
+func (w *watch) batchDelay() time.Duration {
+	if w.isHub {
+		return hubBatchDelay
+	}
+	delay := baseBatchDelay + time.Duration(w.roster.Len())*batchDelayPerUpstream
+	return min(delay, time.Duration(maxBatchDelayShare*float64(w.propagationLimit)))
+}
+
+// callDue returns when the next call for a table is due.
+func (w *watch) callDue(t *watchedTable) clock.Instant {
+	if w.isHub || t.needsList {
+		return t.nextCallAt
+	}
+	return max(t.nextCallAt, t.newsUntil)
+}
+
+func (w *watch) startCall(t *watchedTable, now clock.Instant) {
+	if t.calling || now.Before(w.callDue(t)) {
+		return
+	}
+	if err := w.inbox.Reserve(); err != nil {
+		t.nextCallAt = now.Add(watchRetryDelay)
+		return
+	}
+	t.calling = true
+	isList := t.needsList
+	done := func(p rows.Page, err error) {
+		offerResult(w.inbox, watchMessage{table: t.table, isList: isList, page: p, err: err}, w.log)
+	}
+	if isList {
+		w.store.List(t.table, "", done)
+		return
+	}
+	w.store.Feed(t.table, t.version, w.feedWait(), done)
+}
+
+func (w *watch) handleResponse(m watchMessage, now clock.Instant) {
+	t := w.tables[m.table]
+	t.calling = false
+	if m.err != nil {
+		w.handleFailure(t, m.err, now)
+		return
+	}
+	if !w.accept(t, m.page, m.isList, now) {
+		// The response shows an older state than an earlier one.
+		t.nextCallAt = now.Add(watchRetryDelay)
+		return
+	}
+	if len(m.page.Rows) > 0 && t.table == served.UpstreamTable {
+		t.nextCallAt = now.Add(w.batchDelay())
+	}
+	w.sharePage(t, m.page, m.isList)
+}
+
+func (w *watch) handleFailure(t *watchedTable, err error, now clock.Instant) {
+	t.nextCallAt = now.Add(w.retryDelay(t, err))
+	var history *rows.HistoryError
+	if errors.As(err, &history) {
+		w.log.Info().Str("table", t.table).Msg("history_forgotten")
+		t.needsList = true
+		t.nextCallAt = now
+		return
+	}
+	if t.table == served.UpstreamTable {
+		w.roster.StoreUnavailable()
+	}
+	offerOrLog(w.peers, peerMessage(tableRead{update: exchange.TableUpdate{Table: t.table}, failed: true}), w.log)
+	w.log.Debug().Str("table", t.table).Str("cause", err.Error()).Msg("watch_failed")
+	if !t.isUnavailable {
+		t.isUnavailable = true
+		w.log.Warn().Str("dependency", "store").Str("by", t.table).Str("cause", err.Error()).Msg("dependency_lost")
+	}
+}
+
+// retryDelay returns the delay after a failed call. It grows while the store is
+// asked for more than it allows: after a restart of all gateways each of them reads
+// whole tables, and calls that come back at once would keep it so.
+func (w *watch) retryDelay(t *watchedTable, err error) time.Duration {
+	if !rows.IsThrottled(err) {
+		return watchRetryDelay
+	}
+	t.throttled++
+	return watchRetryDelay + w.throttleBackoff.RandomDelay(t.throttled)
+}
--- /dev/null
+++ b/serving/exchange/logged_record.go
@@ -0,0 +1,9 @@
+package exchange
+
+import "github.com/sycamorecourse/sycamorecourse/serving/cluster"
+
+// loggedRecord is a record and its position in the log.
+type loggedRecord struct {
+	record   cluster.Record
+	position uint64
+}
--- a/serving/exchange/record_log.go
+++ b/serving/exchange/record_log.go
@@ -13,12 +13,6 @@
 	last    uint64
 }
 
-// loggedRecord is a record and its position in the log.
-type loggedRecord struct {
-	record   cluster.Record
-	position uint64
-}
-
 // NewRecordLog makes an empty log.
 func NewRecordLog() *RecordLog {
 	return &RecordLog{records: make(map[string]loggedRecord)}
--- a/serving/relay/core_arrive.go
+++ b/serving/relay/core_arrive.go
@@ -153,7 +153,13 @@
 func (c *Core) limiter(customer *catalog.Customer, now clock.Instant) *limiter {
 	l := c.limiters[customer.Name]
 	if l == nil {
-		l = newLimiter(c.limitShare(customer.Name), c.limitSlack(), c.config.LimitSlack, c.gateways, c.config.LimitWindow, customer, now)
+		l = &limiter{
+			share:      c.limitShare(customer.Name),
+			slack:      c.limitSlack(),
+			totalSlack: c.config.LimitSlack,
+			window:     max(c.config.LimitWindow, limitBuckets),
+		}
+		l.start(customer, c.gateways, now)
 		l.inherit(c.inheritedUse[customer.Name], now)
 		delete(c.inheritedUse, customer.Name)
 		c.limiters[customer.Name] = l
--- a/serving/relay/limiter.go
+++ b/serving/relay/limiter.go
@@ -51,12 +51,12 @@
 	current int64
 }
 
-func newLimiter(share, slack, totalSlack float64, gateways int, window time.Duration, c *catalog.Customer, now clock.Instant) *limiter {
-	l := &limiter{share: share, slack: slack, totalSlack: totalSlack, updatedAt: now, window: max(window, limitBuckets)}
+// start makes a new limiter ready for use.
+func (l *limiter) start(c *catalog.Customer, gateways int, now clock.Instant) {
+	l.updatedAt = now
 	l.current = l.bucketNumber(now)
 	l.configure(c, gateways)
 	l.level = initialFill * l.burst
-	return l
 }
 
 // configure sets the customer's limit. A lower burst takes effect at once.
