scale: the on-demand part follows from the number of failure domains

Change: 1.65 over the number of domains, from 0.3 to 0.75. No new spec: the specs of the planner run with three domains.

--- a/serving/scale/capacity_estimate.go
+++ b/serving/scale/capacity_estimate.go
@@ -39,6 +39,8 @@
 // capacityEstimate estimates how many upstreams a service requires. It rises at
 // once and falls in steps.
 type capacityEstimate struct {
+	// onDemandRatio is the number of on-demand upstreams per required upstream.
+	onDemandRatio float64
 	// readRate is the rate, in tokens per second, at which one upstream reads
 	// prompts.
 	readRate float64
@@ -89,7 +91,7 @@
 // reclaimable ones are short, as many of both as are required.
 func (e *capacityEstimate) startLoad(onDemand, reclaimable int, now clock.Instant) {
 	if e.initial == 0 {
-		e.required = min(int(float64(onDemand)/onDemandRatio), onDemand+reclaimable)
+		e.required = min(int(float64(onDemand)/e.onDemandRatio), onDemand+reclaimable)
 	}
 	e.hasLoad, e.lastHigh = true, now.Add(warmupTime-scaleDownDelay)
 }
--- a/serving/scale/planner.go
+++ b/serving/scale/planner.go
@@ -8,9 +8,13 @@
 )
 
 const (
-	// onDemandRatio is the number of on-demand upstreams per required upstream while
-	// there are enough reclaimable ones.
-	onDemandRatio = 0.35
+	// onDemandPerDomain, divided by the number of failure domains, is the number of
+	// on-demand upstreams per required upstream while there are enough reclaimable
+	// ones, within the bounds below. Reclaims take one failure domain after the other:
+	// of few domains all may be gone before others have booted.
+	onDemandPerDomain = 1.65
+	minOnDemandRatio  = 0.3
+	maxOnDemandRatio  = 0.75
 	// minOnDemand is the least number of on-demand upstreams in a failure domain.
 	minOnDemand = 1
 	// reclaimableRatio is the number of reclaimable upstreams per required upstream.
@@ -46,6 +50,7 @@
 	}
 	have := countUpstreams(s.Name, upstreams)
 	e := p.estimate(s.Name)
+	e.onDemandRatio = min(max(onDemandPerDomain/float64(len(domains)), minOnDemandRatio), maxOnDemandRatio)
 	e.update(load, s.Engine.Slots, countKind(have, false), countKind(have, true), now)
 	reclaimableTotal := 0
 	var due []Order
@@ -53,7 +58,7 @@
 		onDemandKey := groupKey{service: s.Name, failureDomain: domain}
 		reclaimableKey := groupKey{service: s.Name, failureDomain: domain, reclaimable: true}
 		// On-demand upstreams also make up for missing reclaimable ones.
-		onDemand := evenPart(max(onDemandRatio*float64(e.required), float64(e.required-countKind(have, true))), i, len(domains))
+		onDemand := evenPart(max(e.onDemandRatio*float64(e.required), float64(e.required-countKind(have, true))), i, len(domains))
 		onDemand = min(max(onDemand, minOnDemand, s.Autoscaling.Min), s.Autoscaling.Max)
 		// Autoscaling.Max bounds both kinds together, so on-demand upstreams that
 		// exist or are wanted leave less room for reclaimable ones.
