--- a/serving/scale/planner.go
+++ b/serving/scale/planner.go
@@ -8,13 +8,14 @@
 )
 
 const (
-	// onDemandPerDomain, divided by the number of failure domains, is the number of
-	// on-demand upstreams per required upstream while there are enough reclaimable
-	// ones, within the bounds below. Reclaims take one failure domain after the other:
-	// of few domains all may be gone before others have booted.
-	onDemandPerDomain = 1.65
-	minOnDemandRatio  = 0.3
+	// maxOnDemandRatio is the number of on-demand upstreams per required upstream with
+	// up to fewDomains failure domains. Reclaims take one failure domain after the
+	// other: of few domains all may be gone before others have booted. Each further
+	// domain lowers the ratio by onDemandPerDomain, down to minOnDemandRatio.
 	maxOnDemandRatio  = 0.75
+	minOnDemandRatio  = 0.35
+	onDemandPerDomain = 0.2
+	fewDomains        = 3
 	// minOnDemand is the least number of on-demand upstreams in a failure domain.
 	minOnDemand = 1
 	// reclaimableRatio is the number of reclaimable upstreams per required upstream.
@@ -50,7 +51,7 @@
 	}
 	have := countUpstreams(s.Name, upstreams)
 	e := p.estimate(s.Name)
-	e.onDemandRatio = min(max(onDemandPerDomain/float64(len(domains)), minOnDemandRatio), maxOnDemandRatio)
+	e.onDemandRatio = onDemandRatio(len(domains))
 	e.update(load, s.Engine.Slots, countKind(have, false), countKind(have, true), now)
 	reclaimableTotal := 0
 	var due []Order
@@ -74,6 +75,12 @@
 	return due
 }
 
+// onDemandRatio returns the number of on-demand upstreams per required upstream with
+// a number of failure domains, while there are enough reclaimable ones.
+func onDemandRatio(domains int) float64 {
+	return max(maxOnDemandRatio-onDemandPerDomain*float64(max(domains-fewDomains, 0)), minOnDemandRatio)
+}
+
 // SetReadRate sets the rate, in tokens per second, at which one upstream of a
 // service was observed to read prompts. A rate of 0 is unknown and ignored.
 func (p *Planner) SetReadRate(service string, rate float64) {
