relay: each attempt that breaks off is logged with its state and the prompt's shared parts

Change: an action AttemptBroken, the line attempt_broken (id, route, upstream, starting, parts, detail) and the counter sycamore_attempts_broken_total by route and state. No decision changes.

--- a/daemon/entry/dispatcher.go
+++ b/daemon/entry/dispatcher.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -181,6 +183,23 @@
 		Str("detail", n.Detail).Msg(string(n.Event))
 }
 
+// logBroken logs an attempt that broke off.
+func (d *dispatcher) logBroken(n *relay.AttemptBroken) {
+	d.metrics.recordBroken(n)
+	d.log.Info().Str("id", n.ID).Str("route", n.Route).Str("upstream", n.Upstream).
+		Bool("starting", n.Starting).Str("parts", formatParts(n.SharedParts)).Str("detail", n.Detail).Msg("attempt_broken")
+}
+
+// formatParts returns the IDs of prompt parts, in hexadecimal and separated by
+// commas.
+func formatParts(parts []relay.PromptPart) string {
+	ids := make([]string, 0, len(parts))
+	for _, part := range parts {
+		ids = append(ids, strconv.FormatUint(part.ID, 16))
+	}
+	return strings.Join(ids, ",")
+}
+
 // countUsage counts a request for its customer in the current usage window.
 func (d *dispatcher) countUsage(customer string, now clock.Instant) {
 	if customer == "" || d.clockOffset == 0 {
--- a/daemon/entry/metrics.go
+++ b/daemon/entry/metrics.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"strconv"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sycamorecourse/sycamorecourse/serving/relay"
@@ -13,6 +15,7 @@
 type metrics struct {
 	ended        *prometheus.CounterVec
 	retried      prometheus.Counter
+	broken       *prometheus.CounterVec
 	firstEvent   *prometheus.HistogramVec
 	duration     *prometheus.HistogramVec
 	open         prometheus.Gauge
@@ -29,6 +32,10 @@
 			Name: "sycamore_requests_retried_total",
 			Help: "Sends beyond the first of each request.",
 		}),
+		broken: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamore_attempts_broken_total",
+			Help: "Attempts that broke off after they were sent, by route and whether the answer was just starting.",
+		}, []string{"route", "starting"}),
 		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "sycamore_first_event_seconds",
 			Help:    "Time from a request's arrival to the first event of its answer, by route.",
@@ -48,7 +55,7 @@
 			Help: "Prompt tokens of requests that ran since the start: all, and those believed to be cached.",
 		}, []string{"what"}),
 	}
-	registry.MustRegister(m.ended, m.retried, m.firstEvent, m.duration, m.open, m.promptTokens)
+	registry.MustRegister(m.ended, m.retried, m.broken, m.firstEvent, m.duration, m.open, m.promptTokens)
 	return m
 }
 
@@ -64,6 +71,10 @@
 	}
 }
 
+func (m *metrics) recordBroken(n *relay.AttemptBroken) {
+	m.broken.WithLabelValues(n.Route, strconv.FormatBool(n.Starting)).Inc()
+}
+
 func (m *metrics) update(core *relay.Core) {
 	counts := core.Counts()
 	m.open.Set(float64(core.OpenRequests()))
--- a/serving/relay/attempt.go
+++ b/serving/relay/attempt.go
@@ -12,8 +12,15 @@
 	head         ResponseHead
 	hasHead      bool
 	hasEvent     bool
+	progress     int // chunks of a stream that made progress
 	body         []byte
 	predicted    prediction
 	hasPrompt    bool
 	priority     int
 }
+
+// isStarting reports whether the upstream has sent at most the first piece of its
+// answer.
+func (a *attempt) isStarting() bool {
+	return a.progress <= 1
+}
--- a/serving/relay/core_failed.go
+++ b/serving/relay/core_failed.go
@@ -41,6 +41,7 @@
 	s.mayHaveRun = true
 	s.detail = detail
 	s.pool.health.Failed(&s.attempt.member.record, now)
+	c.logBroken(s)
 	if c.retry(s, detail, now) {
 		return
 	}
--- a/serving/relay/core_log.go
+++ b/serving/relay/core_log.go
@@ -10,6 +10,18 @@
 	c.emit(c.logEntry(RequestRetried, s, "", false, now))
 }
 
+// logBroken logs that the attempt in progress broke off.
+func (c *Core) logBroken(s *requestState) {
+	c.emit(AttemptBroken{
+		ID:          s.request.ID,
+		Route:       s.route.Name,
+		Upstream:    s.attempt.member.upstream.ID,
+		Starting:    s.attempt.isStarting(),
+		SharedParts: s.request.Prompt.sharedParts(),
+		Detail:      s.detail,
+	})
+}
+
 // logEntry returns a log entry for the current state of a request.
 func (c *Core) logEntry(event LogEvent, s *requestState, reason Reason, notRun bool, now clock.Instant) LogEntry {
 	entry := LogEntry{
--- a/serving/relay/core_place.go
+++ b/serving/relay/core_place.go
@@ -155,7 +155,7 @@
 // sharedTokens returns the length of all parts of a prompt but the last.
 func sharedTokens(p *Prompt) int {
 	n := 0
-	for _, part := range p.Parts[:len(p.Parts)-1] {
+	for _, part := range p.sharedParts() {
 		n += part.Tokens
 	}
 	return n
--- a/serving/relay/core_response.go
+++ b/serving/relay/core_response.go
@@ -43,6 +43,7 @@
 	}
 	if chunk.isProgress() {
 		a.lastActivity = now
+		a.progress++
 	}
 	if chunk.LastEvent > 0 && chunk.LastEvent <= s.lastEvent {
 		return
--- a/serving/relay/prompt.go
+++ b/serving/relay/prompt.go
@@ -15,3 +15,12 @@
 	// share all parts but the last.
 	Parts []PromptPart
 }
+
+// sharedParts returns the parts that other prompts may contain too: all but the
+// last, which belongs to the request or its session.
+func (p *Prompt) sharedParts() []PromptPart {
+	if p == nil || len(p.Parts) == 0 {
+		return nil
+	}
+	return p.Parts[:len(p.Parts)-1]
+}
