relay: the end of an attempt says whether the upstream closed the connection

Cause: attempt_broken did not tell a connection that the upstream closed from a timeout or a malformed answer; only the first can be the end of the upstream's process. Change: httpc.IsDisconnect, relay.Failure.Disconnected, the field disconnected in the log line. No decision changes.

--- a/daemon/entry/dispatcher.go
+++ b/daemon/entry/dispatcher.go
@@ -187,7 +187,7 @@
 func (d *dispatcher) logBroken(n *relay.AttemptBroken) {
 	d.metrics.recordBroken(n)
 	d.log.Info().Str("id", n.ID).Str("route", n.Route).Str("upstream", n.Upstream).
-		Bool("starting", n.Starting).Str("parts", formatParts(n.SharedParts)).Str("detail", n.Detail).Msg("attempt_broken")
+		Bool("starting", n.Starting).Bool("disconnected", n.Disconnected).Str("parts", formatParts(n.SharedParts)).Str("detail", n.Detail).Msg("attempt_broken")
 }
 
 // formatParts returns the IDs of prompt parts, in hexadecimal and separated by
--- a/daemon/entry/receiver.go
+++ b/daemon/entry/receiver.go
@@ -82,7 +82,11 @@
 func (r *receiver) Failed(err error) {
 	var notSent *httpc.NotSentError
 	n := r.pendingUpdate()
-	n.failure = &relay.Failure{NotSent: errors.As(err, &notSent), Detail: err.Error()}
+	n.failure = &relay.Failure{
+		NotSent:      errors.As(err, &notSent),
+		Disconnected: httpc.IsDisconnect(err),
+		Detail:       err.Error(),
+	}
 	r.offerFinal(n)
 }
 
--- a/serving/relay/attempt_broken.go
+++ b/serving/relay/attempt_broken.go
@@ -12,6 +12,8 @@
 	// Starting is true if the upstream had sent at most the first piece of the
 	// answer.
 	Starting bool
+	// Disconnected is true if the upstream closed or reset the connection.
+	Disconnected bool
 	// SharedParts are the parts of the prompt that other prompts may contain too;
 	// nil without a prompt.
 	SharedParts []PromptPart
--- a/serving/relay/core_done.go
+++ b/serving/relay/core_done.go
@@ -19,7 +19,7 @@
 		a.member.fullUntil = now.Add(fullBackoff)
 		c.handleNotRun(s, "rejected by the upstream", now)
 	case h.isSuccess() && !h.Sealed:
-		c.handleBroken(s, "success response without a seal", now)
+		c.handleBroken(s, Failure{Detail: "success response without a seal"}, now)
 	case h.isSuccess() && isStream(s.route):
 		c.completeStream(s, now)
 	default:
--- a/serving/relay/core_failed.go
+++ b/serving/relay/core_failed.go
@@ -15,7 +15,7 @@
 		c.handleNotRun(s, f.Detail, now)
 		return
 	}
-	c.handleBroken(s, f.Detail, now)
+	c.handleBroken(s, f, now)
 }
 
 // handleNotRun sends a request again, or refuses it, after an attempt that the
@@ -37,12 +37,12 @@
 
 // handleBroken retries a request, or fails it, after an attempt that the upstream
 // may have run.
-func (c *Core) handleBroken(s *requestState, detail string, now clock.Instant) {
+func (c *Core) handleBroken(s *requestState, f Failure, now clock.Instant) {
 	s.mayHaveRun = true
-	s.detail = detail
+	s.detail = f.Detail
 	s.pool.health.Failed(&s.attempt.member.record, now)
-	c.logBroken(s)
-	if c.retry(s, detail, now) {
+	c.logBroken(s, f.Disconnected)
+	if c.retry(s, f.Detail, now) {
 		return
 	}
 	c.endAttempt(s)
--- a/serving/relay/core_log.go
+++ b/serving/relay/core_log.go
@@ -11,14 +11,15 @@
 }
 
 // logBroken logs that the attempt in progress broke off.
-func (c *Core) logBroken(s *requestState) {
+func (c *Core) logBroken(s *requestState, disconnected bool) {
 	c.emit(AttemptBroken{
-		ID:          s.request.ID,
-		Route:       s.route.Name,
-		Upstream:    s.attempt.member.upstream.ID,
-		Starting:    s.attempt.isStarting(),
-		SharedParts: s.request.Prompt.sharedParts(),
-		Detail:      s.detail,
+		ID:           s.request.ID,
+		Route:        s.route.Name,
+		Upstream:     s.attempt.member.upstream.ID,
+		Starting:     s.attempt.isStarting(),
+		Disconnected: disconnected,
+		SharedParts:  s.request.Prompt.sharedParts(),
+		Detail:       s.detail,
 	})
 }
 
