--- a/daemon/entry/coordinator.go
+++ b/daemon/entry/coordinator.go
@@ -34,6 +34,9 @@
 	heartbeatPerGateway = 6 * time.Millisecond
 	// maxHeartbeatInterval is the longest time between two writes.
 	maxHeartbeatInterval = 1800 * time.Millisecond
+	// urgentHeartbeatInterval is the least time between two writes if there is news that
+	// the other gateways should get at once.
+	urgentHeartbeatInterval = 300 * time.Millisecond
 	// peerHeartbeatInterval is the time between two writes while other gateways get
 	// this gateway's record by the exchange of news.
 	peerHeartbeatInterval = 2 * time.Second
@@ -107,6 +110,7 @@
 	holdsLease       bool
 	refusedFence     uint64 // fencing number that the cloud API refused as too low
 	heartbeatAt      clock.Instant
+	lastHeartbeat    clock.Instant
 	heartbeatActive  bool // a write or read of records is in progress
 	hasRead          bool // the records have been read at least once
 	isStale          bool // the others may have taken over this gateway's part of limits
@@ -180,7 +184,13 @@
 		c.record.Demand = m.demand
 		c.record.RecentDemand, c.record.Used = m.recentDemand, m.used
 		c.record.Loads = m.loads
-		c.shareRecord(false, now)
+		if c.hasRead {
+			c.record.Evidence = shiftEvidence(m.evidence, c.storeNow(now)-time.Duration(now))
+		}
+		c.shareRecord(m.isUrgent, now)
+		if m.isUrgent {
+			c.hurryHeartbeat(now)
+		}
 		c.readRates = m.readRates
 	case recordsRead:
 		c.handleRecordsRead(m, now)
--- a/daemon/entry/coordinator_records.go
+++ b/daemon/entry/coordinator_records.go
@@ -10,6 +10,7 @@
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
 	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
+	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
 )
 
@@ -19,6 +20,7 @@
 func (c *coordinator) heartbeat(now clock.Instant) {
 	c.heartbeatActive = true
 	c.heartbeatAt = now.Add(c.heartbeatInterval())
+	c.lastHeartbeat = now
 	if !c.hasRead {
 		c.readRecords()
 		return
@@ -40,6 +42,11 @@
 	})
 }
 
+// hurryHeartbeat brings the next heartbeat forward.
+func (c *coordinator) hurryHeartbeat(now clock.Instant) {
+	c.heartbeatAt = min(c.heartbeatAt, max(now, c.lastHeartbeat.Add(urgentHeartbeatInterval)))
+}
+
 // updateRecord brings this gateway's record up to date before it is published.
 func (c *coordinator) updateRecord(now clock.Instant) {
 	c.record.Sequence++
@@ -223,10 +230,29 @@
 		c.log.Warn().Bool("reduced", isStale).Int("gateways", message.division.Gateways).Msg("limits_divided")
 	}
 	c.publishHubs(ready)
+	c.publishEvidence(now)
 	offerOrLog(c.dispatch, dispatchMessage(message), c.log)
 	offerOrLog(c.dispatch, dispatchMessage(setClockOffset{offset: c.clockOffset()}), c.log)
 }
 
+// publishEvidence hands over what the gateways know of prompt parts that may crash
+// upstreams, a former process of this instance included.
+func (c *coordinator) publishEvidence(now clock.Instant) {
+	list := shiftEvidence(c.view.Evidence(), time.Duration(now)-c.storeNow(now))
+	if len(list) > 0 {
+		offerOrLog(c.dispatch, dispatchMessage(mergeEvidence{list: list}), c.log)
+	}
+}
+
+// shiftEvidence moves the times of evidence from one clock to another.
+func shiftEvidence(list []quarantine.Evidence, d time.Duration) []quarantine.Evidence {
+	out := make([]quarantine.Evidence, 0, len(list))
+	for _, e := range list {
+		out = append(out, e.Shift(d))
+	}
+	return out
+}
+
 // publishHubs tells the peers and watch duties which gateways are hubs, if that has
 // changed.
 func (c *coordinator) publishHubs(ready []cluster.Record) {
--- a/daemon/entry/dispatch_message.go
+++ b/daemon/entry/dispatch_message.go
@@ -2,8 +2,8 @@
 
 // dispatchMessage is a message to the dispatch duty: requestArrived,
 // *attemptUpdate, callerGone, setCatalog, setUpstreams, confirmUpstreams,
-// setRetryBudget, setDivision, setClockOffset, closeConnections, stopAccepting,
-// countOpenRequests or dumpDispatch.
+// setRetryBudget, setDivision, mergeEvidence, inheritUse, setClockOffset,
+// closeConnections, stopAccepting, countOpenRequests or dumpDispatch.
 type dispatchMessage interface {
 	isDispatchMessage()
 }
--- a/daemon/entry/dispatcher.go
+++ b/daemon/entry/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/sycamorecourse/sycamorecourse/daemon/report"
 	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
 	"github.com/sycamorecourse/sycamorecourse/edge/httpd"
+	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
 	"github.com/sycamorecourse/sycamorecourse/serving/relay"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
 )
@@ -106,6 +107,8 @@
 	case setDivision:
 		d.core.SetDivision(m.division, now)
 		d.core.SetReadyPeers(m.readyPeers)
+	case mergeEvidence:
+		d.core.MergeEvidence(m.list, now)
 	case inheritUse:
 		d.core.InheritUse(m.used, now)
 	case setClockOffset:
@@ -200,6 +203,13 @@
 	return strings.Join(ids, ",")
 }
 
+// logQuarantine logs a change of the quarantine of a prompt part.
+func (d *dispatcher) logQuarantine(change quarantine.Change, now clock.Instant) {
+	d.log.Warn().Str("part", strconv.FormatUint(change.Part, 16)).Str("service", change.Service).
+		Int("crashes", change.Crashes).Bool("own", change.Own).
+		Int64("left_ms", max(change.Until.Sub(now), 0).Milliseconds()).Msg(string(change.Kind))
+}
+
 // countUsage counts a request for its customer in the current usage window.
 func (d *dispatcher) countUsage(customer string, now clock.Instant) {
 	if customer == "" || d.clockOffset == 0 {
@@ -215,11 +225,12 @@
 // publishStats sends the statistics since the last time to the cluster duty. If
 // its ring is full, the usage counts go with the next message.
 func (d *dispatcher) publishStats(now clock.Instant) {
-	if now.Sub(d.publishedAt) < statsInterval {
+	isUrgent := d.core.EvidenceIsUrgent()
+	if now.Sub(d.publishedAt) < statsInterval && !isUrgent {
 		return
 	}
 	d.publishedAt = now
-	d.metrics.update(d.core)
+	d.metrics.update(d.core, now)
 	stats := requestStats{
 		counts:       d.usageCounts,
 		demand:       d.core.Demand(now),
@@ -227,6 +238,8 @@
 		used:         d.core.Used(now),
 		loads:        d.core.Loads(now),
 		readRates:    d.core.ReadRates(),
+		evidence:     d.core.Evidence(now),
+		isUrgent:     isUrgent,
 	}
 	if d.cluster.Offer(stats) == nil {
 		d.usageCounts = make(map[int64]usage.Counts)
--- a/daemon/entry/dispatcher_actions.go
+++ b/daemon/entry/dispatcher_actions.go
@@ -28,6 +28,8 @@
 		d.countUsage(a.Customer, now)
 	case relay.LogEntry:
 		d.logRequest(&a)
+	case relay.QuarantineChanged:
+		d.logQuarantine(a.Change, now)
 	case relay.AttemptBroken:
 		d.logBroken(&a)
 	default:
--- a/daemon/entry/metrics.go
+++ b/daemon/entry/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/relay"
 )
 
@@ -19,6 +20,7 @@
 	firstEvent   *prometheus.HistogramVec
 	duration     *prometheus.HistogramVec
 	open         prometheus.Gauge
+	quarantined  prometheus.Gauge
 	promptTokens *prometheus.GaugeVec
 }
 
@@ -50,12 +52,16 @@
 			Name: "sycamore_requests_open",
 			Help: "Requests in progress.",
 		}),
+		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sycamore_prompt_parts_quarantined",
+			Help: "Prompt parts whose requests are refused since they crash upstreams.",
+		}),
 		promptTokens: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "sycamore_prompt_tokens",
 			Help: "Prompt tokens of requests that ran since the start: all, and those believed to be cached.",
 		}, []string{"what"}),
 	}
-	registry.MustRegister(m.ended, m.retried, m.broken, m.firstEvent, m.duration, m.open, m.promptTokens)
+	registry.MustRegister(m.ended, m.retried, m.broken, m.firstEvent, m.duration, m.open, m.quarantined, m.promptTokens)
 	return m
 }
 
@@ -75,8 +81,9 @@
 	m.broken.WithLabelValues(n.Route, strconv.FormatBool(n.Starting)).Inc()
 }
 
-func (m *metrics) update(core *relay.Core) {
+func (m *metrics) update(core *relay.Core, now clock.Instant) {
 	counts := core.Counts()
+	m.quarantined.Set(float64(core.QuarantinedParts(now)))
 	m.open.Set(float64(core.OpenRequests()))
 	m.promptTokens.WithLabelValues("all").Set(float64(counts.PromptTokens))
 	m.promptTokens.WithLabelValues("cached").Set(float64(counts.CachedTokens))
--- a/daemon/entry/request_stats.go
+++ b/daemon/entry/request_stats.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
 	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
 )
@@ -15,6 +16,11 @@
 	used         map[string]float64
 	loads        map[string]scale.Load
 	readRates    map[string]float64
+	// evidence is what this gateway knows of prompt parts that may crash upstreams,
+	// with times of the monotonic clock, and isUrgent is set if the others should get
+	// it at once.
+	evidence []quarantine.Evidence
+	isUrgent bool
 }
 
 func (requestStats) isClusterMessage() {}
--- a/serving/cluster/record.go
+++ b/serving/cluster/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
 	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 )
 
@@ -40,6 +41,9 @@
 	RecentDemand map[string]float64 `cbor:"13,keyasint,omitempty"`
 	// PeerAddress is where other gateways poll for news; empty if they can't.
 	PeerAddress string `cbor:"14,keyasint,omitempty"`
+	// Evidence is what the gateway knows of prompt parts that may crash upstreams, with
+	// times of the store's clock.
+	Evidence []quarantine.Evidence `cbor:"15,keyasint,omitempty"`
 	// Age is the time from the write to the read, by the store's clock. The reader
 	// sets it; it is not stored.
 	Age time.Duration `cbor:"-"`
--- a/serving/cluster/view.go
+++ b/serving/cluster/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
 	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 )
 
@@ -156,6 +157,16 @@
 	return sum
 }
 
+// Evidence returns what all gateways, dead ones included, have published of prompt
+// parts that may crash upstreams.
+func (v *View) Evidence() []quarantine.Evidence {
+	var list []quarantine.Evidence
+	for _, p := range v.peers {
+		list = append(list, p.record.Evidence...)
+	}
+	return list
+}
+
 // CountsPublishedUntil returns the instant by which every gateway, silent ones
 // included, is known to have published its counts: the earliest time at which one of
 // the present records was written.
--- /dev/null
+++ b/serving/quarantine/suspect.go
@@ -0,0 +1,158 @@
+package quarantine
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+)
+
+const (
+	// minCrashes is the least number of upstreams that crashed with a part before it
+	// is quarantined.
+	minCrashes = 3
+	// maxChance bounds the probability that a harmless part was at all the crashes.
+	maxChance = 1e-3
+	// minCrashRate is the least assumed share of harmless attempts that end in a
+	// crash.
+	minCrashRate = 0.02
+	// crashLifetime is how long a crash counts.
+	crashLifetime = 10 * time.Minute
+	// maxCrashes bounds the crashes that are kept of one part.
+	maxCrashes = 16
+)
+
+// suspect is a part that was at a crash, or that another gateway suspects.
+type suspect struct {
+	part    uint64
+	service string
+	depth   int
+	// crashes holds those since succeededAt, by upstream.
+	crashes     map[uint64]clock.Instant
+	succeededAt clock.Instant
+
+	quarantinedAt    clock.Instant
+	quarantinedUntil clock.Instant
+	quarantines      int
+	probedAt         clock.Instant
+
+	// othersSucceeded and othersCrashed count the attempts at the service, without
+	// the part, that ended at this gateway since the part was first suspected.
+	othersSucceeded, othersCrashed int
+	// changedAt is when there was last something new to publish.
+	changedAt clock.Instant
+	// isPublished is true once other gateways may know of the suspicion.
+	isPublished bool
+}
+
+func newSuspect(part uint64, service string, succeededAt clock.Instant) *suspect {
+	return &suspect{
+		part: part, service: service, crashes: make(map[uint64]clock.Instant), succeededAt: succeededAt,
+		quarantinedAt: never, quarantinedUntil: never, probedAt: never, changedAt: never,
+	}
+}
+
+// isQuarantined reports whether the latest quarantine is in force: it has not
+// ended, and no success has come since it began.
+func (s *suspect) isQuarantined(now clock.Instant) bool {
+	return s.hasVerdict() && now.Before(s.quarantinedUntil)
+}
+
+// hasVerdict reports whether the part was quarantined and not answered since.
+func (s *suspect) hasVerdict() bool {
+	return s.quarantinedAt != never && !s.succeededAt.After(s.quarantinedAt)
+}
+
+// wasProbed reports whether a request was let through on trial since the latest
+// quarantine ended.
+func (s *suspect) wasProbed() bool {
+	return s.hasVerdict() && !s.probedAt.Before(s.quarantinedUntil)
+}
+
+// addCrash adds a crash unless the part was answered after it.
+func (s *suspect) addCrash(upstream uint64, at, now clock.Instant) {
+	if !at.After(s.succeededAt) {
+		return
+	}
+	if known, ok := s.crashes[upstream]; ok && !at.Before(known) {
+		return
+	}
+	s.crashes[upstream] = at
+	s.changedAt = now
+	if len(s.crashes) > maxCrashes {
+		delete(s.crashes, s.sortedCrashes()[0].Upstream)
+	}
+}
+
+// succeed records that the part was answered.
+func (s *suspect) succeed(at clock.Instant) {
+	if !at.After(s.succeededAt) {
+		return
+	}
+	s.succeededAt = at
+	for upstream, crashedAt := range s.crashes {
+		if !crashedAt.After(at) {
+			delete(s.crashes, upstream)
+		}
+	}
+}
+
+// expire forgets crashes that no longer count.
+func (s *suspect) expire(now clock.Instant) {
+	for upstream, at := range s.crashes {
+		if now.Sub(at) >= crashLifetime {
+			delete(s.crashes, upstream)
+		}
+	}
+}
+
+// sortedCrashes returns the crashes, the oldest first.
+func (s *suspect) sortedCrashes() []Crash {
+	list := make([]Crash, 0, len(s.crashes))
+	for upstream, at := range s.crashes {
+		list = append(list, Crash{Upstream: upstream, At: time.Duration(at)})
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].At != list[j].At {
+			return list[i].At < list[j].At
+		}
+		return list[i].Upstream < list[j].Upstream
+	})
+	return list
+}
+
+// unexplained counts the crashes that are not in a set.
+func (s *suspect) unexplained(explained map[uint64]bool) int {
+	n := 0
+	for upstream := range s.crashes {
+		if !explained[upstream] {
+			n++
+		}
+	}
+	return n
+}
+
+// isGuilty reports whether a number of crashes is more than chance explains. The
+// rate at which harmless attempts crash is that of the prompts without the part, so
+// that nothing is held against a part while others don't succeed either.
+func (s *suspect) isGuilty(crashes int) bool {
+	if crashes < minCrashes {
+		return false
+	}
+	rate := float64(s.othersCrashed+1) / float64(s.othersSucceeded+s.othersCrashed+1)
+	return math.Pow(max(rate, minCrashRate), float64(crashes)) <= maxChance
+}
+
+// evidence returns what is known, with times of this process.
+func (s *suspect) evidence() Evidence {
+	return Evidence{
+		Part: s.part, Service: s.service, Depth: s.depth,
+		Crashes:          s.sortedCrashes(),
+		SucceededAt:      duration(s.succeededAt),
+		QuarantinedAt:    duration(s.quarantinedAt),
+		QuarantinedUntil: duration(s.quarantinedUntil),
+		Quarantines:      s.quarantines,
+		ProbedAt:         duration(s.probedAt),
+	}
+}
--- a/serving/relay/core.go
+++ b/serving/relay/core.go
@@ -6,6 +6,7 @@
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
+	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
 )
 
 // Core is the state machine of all requests of one gateway. Its methods must be
@@ -29,7 +30,9 @@
 	// inheritedUse is what a former process of this gateway used of the limits of
 	// customers that have no limiter yet.
 	inheritedUse map[string]float64
-	gateways     int
+	// quarantine finds the prompt parts that crash upstreams.
+	quarantine *quarantine.Tracker
+	gateways   int
 	// drainUntil is when the drain of this gateway ends; 0 if it is not draining.
 	drainUntil clock.Instant
 	// readyPeers is the number of other gateways that take requests.
@@ -67,6 +70,7 @@
 		demands:       make(map[string]*demand),
 		recentDemands: make(map[string]*demand),
 		inheritedUse:  make(map[string]float64),
+		quarantine:    quarantine.NewTracker(),
 	}
 }
 
--- a/serving/relay/core_arrive.go
+++ b/serving/relay/core_arrive.go
@@ -48,6 +48,11 @@
 		c.refuse(s, Refusal{Reason: Draining, RetryAfter: defaultRetryAfter}, now)
 		return
 	}
+	s.sharedParts = r.Prompt.quarantineParts()
+	if wait, ok := c.checkQuarantine(s, now); !ok {
+		c.refuse(s, Refusal{Reason: Quarantined, RetryAfter: wait}, now)
+		return
+	}
 	s.deadline = now.Add(c.timeout(s))
 	s.pool = c.pools[pickService(s.route, r.ID)]
 	if wait, ok := c.charge(s, now); !ok {
@@ -59,6 +64,7 @@
 	if !c.place(s, now) {
 		c.refuseUnplaced(s, now)
 	}
+	c.enforceQuarantine(now)
 }
 
 // tooLarge reports whether a request exceeds the size limits, and which one.
--- a/serving/relay/core_done.go
+++ b/serving/relay/core_done.go
@@ -30,6 +30,7 @@
 // completeStream ends a request whose stream is complete.
 func (c *Core) completeStream(s *requestState, now clock.Instant) {
 	a := s.attempt
+	hadEvent := a.hasEvent
 	c.recordFirstEvent(s, a, now)
 	c.endAttempt(s)
 	c.counts.Answered++
@@ -38,6 +39,9 @@
 		c.emit(EndStream{Handle: a.ref.Handle})
 	}
 	c.endRequest(s, Answered, false, now)
+	if hadEvent {
+		c.recordSuccess(s, now)
+	}
 }
 
 // completeReply retries a request after a server error if the route allows it.
@@ -64,4 +68,7 @@
 		c.emit(Reply{Ref: a.ref, Body: a.body})
 	}
 	c.endRequest(s, Answered, false, now)
+	if a.head.isSuccess() {
+		c.recordSuccess(s, now)
+	}
 }
--- a/serving/relay/core_end.go
+++ b/serving/relay/core_end.go
@@ -62,8 +62,11 @@
 		return
 	}
 	reason := Overloaded
-	if s.pool == nil || len(s.pool.list) == 0 {
+	switch {
+	case s.pool == nil || len(s.pool.list) == 0:
 		reason = NoUpstream
+	case s.attempts > 0 && c.isQuarantined(s, now):
+		reason = Quarantined
 	}
 	c.refund(s)
 	c.refuse(s, Refusal{Reason: reason, RetryAfter: defaultRetryAfter}, now)
--- a/serving/relay/core_failed.go
+++ b/serving/relay/core_failed.go
@@ -42,11 +42,12 @@
 	s.detail = f.Detail
 	s.pool.health.Failed(&s.attempt.member.record, now)
 	c.logBroken(s, f.Disconnected)
-	if c.retry(s, f.Detail, now) {
-		return
+	c.recordCrash(s, f, now)
+	if !c.retry(s, f.Detail, now) {
+		c.endAttempt(s)
+		c.fail(s, Broken, now)
 	}
-	c.endAttempt(s)
-	c.fail(s, Broken, now)
+	c.enforceQuarantine(now)
 }
 
 // retrySlow moves a request whose upstream is too slow to another upstream. If
--- a/serving/relay/core_place.go
+++ b/serving/relay/core_place.go
@@ -30,12 +30,15 @@
 
 // place sends a request to the upstream with the lowest predicted latency. It
 // returns false if no upstream is eligible, a first attempt would miss its target
-// because of queueing, a retry exceeds the budget, or the attempts or the time are
-// used up.
+// because of queueing, a retry exceeds the budget or is quarantined, or the attempts
+// or the time are used up.
 func (c *Core) place(s *requestState, now clock.Instant) bool {
 	if s.pool == nil || s.attempts >= maxSends || s.deadline.Sub(now) < minTimeLeft {
 		return false
 	}
+	if s.attempts > 0 && c.isQuarantined(s, now) {
+		return false
+	}
 	m, p := c.chooseUpstream(s, now)
 	if m == nil {
 		return false
--- a/serving/relay/crashing_prompt_test.go
+++ b/serving/relay/crashing_prompt_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -10,6 +11,7 @@
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
+	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
 	"github.com/sycamorecourse/sycamorecourse/serving/relay"
 )
 
@@ -18,6 +20,9 @@
 	crashStep = 10 * time.Millisecond
 	// engineStart is the time from a prompt's arrival at an engine to the first event.
 	engineStart = 100 * time.Millisecond
+	// evidenceInterval is the time between two exchanges of evidence, and the age of
+	// what is exchanged.
+	evidenceInterval = time.Second
 	// engineRestart is how long a crashed engine is away.
 	engineRestart = 3 * time.Second
 	// crashNotice is the time after the fifth crash by which the gateways must have
@@ -36,9 +41,11 @@
 // crashingEngines simulates gateways in front of engines that crash when they begin
 // to answer a prompt with deadlyPart.
 type crashingEngines struct {
-	random   *rand.Rand
-	now      clock.Instant
-	gateways []*relay.Core
+	random    *rand.Rand
+	now       clock.Instant
+	gateways  []*relay.Core
+	shareAt   clock.Instant
+	published [][]quarantine.Evidence // by gateway, at the last exchange
 	// names of the engines that run, by slot; a restarted engine has a new one. An
 	// empty name is an engine that is away.
 	engines   []string
@@ -47,6 +54,7 @@
 	handle    relay.Handle
 	running   []engineRun
 	crashes   []clock.Instant
+	deadly    int             // requests with deadlyPart that arrived
 	deadlyAt  []clock.Instant // when requests with deadlyPart were sent
 	soundSent map[relay.Handle]bool
 	sound     []relay.Handle // the sound requests that arrived
@@ -69,14 +77,42 @@
 		soundSent: make(map[relay.Handle]bool),
 	}
 	for range gateways {
-		core := relay.New(relay.Config{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second})
-		core.Configure(testCatalog(1), s.now)
-		s.gateways = append(s.gateways, core)
+		s.gateways = append(s.gateways, s.newGateway())
 	}
 	s.restartEngines()
 	return s
 }
 
+func (s *crashingEngines) newGateway() *relay.Core {
+	core := relay.New(relay.Config{RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second})
+	core.Configure(testCatalog(1), s.now)
+	return core
+}
+
+// tellEngines tells a gateway which engines run.
+func (s *crashingEngines) tellEngines(core *relay.Core) {
+	var list []*catalog.Upstream
+	for _, name := range s.engines {
+		if name != "" {
+			list = append(list, &catalog.Upstream{ID: name, Service: "s", Slots: 64})
+		}
+	}
+	core.SetUpstreams(list, s.now)
+}
+
+// quarantined returns the parts that any gateway has quarantined.
+func (s *crashingEngines) quarantined() []uint64 {
+	var list []uint64
+	for _, core := range s.gateways {
+		for part := range core.Snapshot(s.now).Quarantined {
+			if !slices.Contains(list, part) {
+				list = append(list, part)
+			}
+		}
+	}
+	return list
+}
+
 // restartEngines starts the engines that are due and tells the gateways.
 func (s *crashingEngines) restartEngines() {
 	changed := false
@@ -90,14 +126,8 @@
 	if !changed {
 		return
 	}
-	var list []*catalog.Upstream
-	for _, name := range s.engines {
-		if name != "" {
-			list = append(list, &catalog.Upstream{ID: name, Service: "s", Slots: 64})
-		}
-	}
 	for _, core := range s.gateways {
-		core.SetUpstreams(list, s.now)
+		s.tellEngines(core)
 	}
 }
 
@@ -106,8 +136,11 @@
 func (s *crashingEngines) run(d time.Duration, rate, deadlyShare float64) {
 	for end := s.now.Add(d); s.now < end; s.now = s.now.Add(crashStep) {
 		s.restartEngines()
-		if s.random.Float64() < rate*crashStep.Seconds() {
-			s.arrive(s.random.Float64() < deadlyShare)
+		s.shareEvidence()
+		for due := rate * crashStep.Seconds(); due > 0; due-- {
+			if s.random.Float64() < due {
+				s.arrive(s.random.Float64() < deadlyShare)
+			}
 		}
 		s.advanceEngines()
 		for i, core := range s.gateways {
@@ -122,6 +155,7 @@
 	s.handle++
 	parts := []relay.PromptPart{{ID: commonPart, Tokens: 500}, {ID: uint64(sessionParts + s.random.IntN(300)), Tokens: 200}}
 	if deadly {
+		s.deadly++
 		parts = append(parts, relay.PromptPart{ID: deadlyPart, Tokens: 50})
 	} else {
 		s.sound = append(s.sound, s.handle)
@@ -164,7 +198,7 @@
 		r := s.running[0]
 		s.running = s.running[1:]
 		if r.deadly {
-			s.crash(r)
+			s.crash(r, true)
 			continue
 		}
 		core := s.gateways[r.gateway]
@@ -175,8 +209,10 @@
 }
 
 // crash ends the engine of a run, and with it all runs there.
-func (s *crashingEngines) crash(cause engineRun) {
-	s.crashes = append(s.crashes, s.now)
+func (s *crashingEngines) crash(cause engineRun, deadly bool) {
+	if deadly {
+		s.crashes = append(s.crashes, s.now)
+	}
 	for i, name := range s.engines {
 		if name == cause.engine {
 			s.engines[i], s.backAt[i] = "", s.now.Add(engineRestart)
@@ -192,6 +228,9 @@
 		}
 	}
 	s.running = kept
+	if cause.ref.Handle == 0 {
+		broken = broken[1:]
+	}
 	for _, r := range broken {
 		s.gateways[r.gateway].AttemptFailed(r.ref, relay.Failure{Disconnected: true, Detail: "closed"}, s.now)
 	}
@@ -208,14 +247,109 @@
 	return n
 }
 
+// noticedAt is when the gateways must have learned what causes the crashes: some time
+// after the fifth one, or after the last if there were fewer.
+func (s *crashingEngines) noticedAt() clock.Instant {
+	return s.crashes[min(len(s.crashes), 5)-1].Add(crashNotice)
+}
+
+// shareEvidence gives each gateway the evidence that the others published some time
+// before.
+func (s *crashingEngines) shareEvidence() {
+	if s.now < s.shareAt {
+		return
+	}
+	s.shareAt = s.now.Add(evidenceInterval)
+	published := make([][]quarantine.Evidence, len(s.gateways))
+	for i, core := range s.gateways {
+		published[i] = core.Evidence(s.now)
+	}
+	for i, core := range s.gateways {
+		for from, list := range s.published {
+			if from != i {
+				core.MergeEvidence(list, s.now)
+			}
+		}
+		s.runActions(i)
+	}
+	s.published = published
+}
+
+// restartGateway replaces a gateway by a new process, which reads what all have
+// published.
+func (s *crashingEngines) restartGateway(i int) {
+	kept := s.running[:0]
+	for _, r := range s.running {
+		if r.gateway != i {
+			kept = append(kept, r)
+		}
+	}
+	s.running = kept
+	s.gateways[i] = s.newGateway()
+	s.tellEngines(s.gateways[i])
+	for _, list := range s.published {
+		s.gateways[i].MergeEvidence(list, s.now)
+	}
+	s.runActions(i)
+}
+
+// crashAll ends some engines at once, for no reason in the prompts.
+func (s *crashingEngines) crashAll(count int) {
+	for i := 0; i < count; i++ {
+		if name := s.engines[i]; name != "" {
+			s.crash(engineRun{engine: name}, false)
+		}
+	}
+}
+
 // Guards against one part of a prompt that ends one engine after the other.
 var _ = Describe("Prompts that crash engines", func() {
-	It("are not sent on once their common part is known, while sound prompts are", func() {
-		s := newCrashingEngines(1, 12)
-		s.run(5*time.Second, 50, 0)
-		s.run(20*time.Second, 50, 0.05)
-		Expect(len(s.crashes)).To(BeNumerically(">=", 5))
-		Expect(s.deadlySendsAfter(s.crashes[4].Add(crashNotice))).To(BeNumerically("<=", 3))
-		Expect(len(s.soundSent)).To(BeNumerically(">=", 95*len(s.sound)/100))
+	DescribeTable("are not sent on once their common part is known, while sound prompts are",
+		func(gateways, engines int, rate, deadlyShare float64, length time.Duration) {
+			s := newCrashingEngines(gateways, engines)
+			s.run(length/4, rate, 0)
+			s.run(length, rate, deadlyShare)
+			Expect(s.deadly).To(BeNumerically(">=", 20))
+			Expect(s.crashes).NotTo(BeEmpty())
+			Expect(s.deadlySendsAfter(s.noticedAt())).To(BeNumerically("<=", 3))
+			Expect(len(s.soundSent)).To(BeNumerically(">=", 95*len(s.sound)/100))
+			Expect(s.quarantined()).To(Equal([]uint64{deadlyPart}))
+		},
+		Entry("one gateway", 1, 12, 50.0, 0.05, 20*time.Second),
+		Entry("4 gateways", 4, 12, 70.0, 0.05, 20*time.Second),
+		Entry("4 gateways, few such prompts", 4, 12, 70.0, 0.02, 20*time.Second),
+		Entry("4 gateways, many such prompts", 4, 12, 70.0, 0.2, 20*time.Second),
+		Entry("38 gateways", 38, 53, 390.0, 0.05, 8*time.Second),
+		Entry("100 gateways", 100, 150, 700.0, 0.05, 6*time.Second),
+	)
+
+	It("are not sent by gateways that start anew", func() {
+		s := newCrashingEngines(4, 12)
+		s.run(5*time.Second, 70, 0)
+		s.run(10*time.Second, 70, 0.05)
+		for i := range s.gateways {
+			s.restartGateway(i)
+		}
+		before := len(s.deadlyAt)
+		s.run(10*time.Second, 70, 0.05)
+		Expect(s.deadlyAt).To(HaveLen(before))
 	})
+
+	DescribeTable("are not seen where engines end for another reason",
+		func(gateways, ended int, every time.Duration) {
+			s := newCrashingEngines(gateways, 12)
+			s.run(3*time.Second, 70, 0)
+			for range 8 {
+				s.crashAll(ended)
+				s.run(every, 70, 0)
+			}
+			s.run(5*time.Second, 70, 0)
+			Expect(s.quarantined()).To(BeEmpty())
+		},
+		Entry("all at once, again and again", 4, 12, 3500*time.Millisecond),
+		Entry("all at once, and hardly back", 4, 12, 3050*time.Millisecond),
+		Entry("half of them", 4, 6, 1500*time.Millisecond),
+		Entry("all but one", 4, 11, 3200*time.Millisecond),
+		Entry("a few, one gateway", 1, 3, 1000*time.Millisecond),
+	)
 })
--- a/serving/relay/member.go
+++ b/serving/relay/member.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,8 +26,10 @@
 type member struct {
 	upstream *catalog.Upstream
 	idHash   uint64
-	record   health.Record
-	open     int // this gateway's requests in progress there
+	// startHash differs for each start of the upstream.
+	startHash uint64
+	record    health.Record
+	open      int // this gateway's requests in progress there
 	// prefillTokens is the number of prompt tokens that those requests have to
 	// read before their first events.
 	prefillTokens int
@@ -47,9 +50,10 @@
 
 func newMember(u *catalog.Upstream) *member {
 	return &member{
-		upstream: u,
-		idHash:   xxhash.Sum64String(u.ID),
-		prefixes: make(map[uint64]clock.Instant),
+		upstream:  u,
+		idHash:    xxhash.Sum64String(u.ID),
+		startHash: xxhash.Sum64String(u.ID + "@" + strconv.FormatInt(u.StartedAtMillis, 10)),
+		prefixes:  make(map[uint64]clock.Instant),
 	}
 }
 
--- a/serving/relay/prompt.go
+++ b/serving/relay/prompt.go
@@ -1,5 +1,7 @@
 package relay
 
+import "github.com/sycamorecourse/sycamorecourse/serving/quarantine"
+
 // Prompt describes the work of a request to a model engine.
 type Prompt struct {
 	// Model names the model.
@@ -24,3 +26,13 @@
 	}
 	return p.Parts[:len(p.Parts)-1]
 }
+
+// quarantineParts returns the shared parts as the quarantine knows them.
+func (p *Prompt) quarantineParts() []quarantine.Part {
+	parts := p.sharedParts()
+	list := make([]quarantine.Part, 0, len(parts))
+	for i, part := range parts {
+		list = append(list, quarantine.Part{ID: part.ID, Depth: i})
+	}
+	return list
+}
--- a/serving/relay/reason.go
+++ b/serving/relay/reason.go
@@ -23,6 +23,8 @@
 	// Overloaded: no upstream has capacity, the latency target would be missed, or
 	// a retry would exceed the budget.
 	Overloaded Reason = "overloaded"
+	// Quarantined: a part of the prompt crashes the upstreams that answer it.
+	Quarantined Reason = "quarantined"
 	// Draining: the gateway may stop before the request ends.
 	Draining Reason = "leaving"
 	// Late: the deadline passed before the request was sent.
--- a/serving/relay/request_state.go
+++ b/serving/relay/request_state.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
+	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
 )
 
 // requestState is the state of a request in progress.
@@ -11,8 +12,10 @@
 	route    *catalog.Route
 	customer *catalog.Customer
 	pool     *pool
-	arrived  clock.Instant
-	deadline clock.Instant // when the request times out
+	// sharedParts are the parts of the prompt that others may contain too.
+	sharedParts []quarantine.Part
+	arrived     clock.Instant
+	deadline    clock.Instant // when the request times out
 
 	attempts      int      // sent so far
 	possibleRuns  int      // attempts not known to be not run
@@ -32,3 +35,13 @@
 func (s *requestState) ref() AttemptRef {
 	return AttemptRef{Handle: s.request.Handle, Attempt: s.attempts}
 }
+
+// hasPart reports whether a part is among the shared parts of the prompt.
+func (s *requestState) hasPart(id uint64) bool {
+	for _, part := range s.sharedParts {
+		if part.ID == id {
+			return true
+		}
+	}
+	return false
+}
--- a/serving/relay/snapshot.go
+++ b/serving/relay/snapshot.go
@@ -15,6 +15,8 @@
 	UpstreamListAge time.Duration    `json:"view_age_ns"`
 	Counts          Counts           `json:"counts"`
 	Members         []MemberSnapshot `json:"upstreams"`
+	// Quarantined holds the time left of the quarantine of each prompt part.
+	Quarantined map[uint64]time.Duration `json:"quarantined_ns"`
 }
 
 // Snapshot returns the current state.
@@ -25,6 +27,7 @@
 		Open:            len(c.requests),
 		UpstreamListAge: now.Sub(c.upstreamsAt),
 		Counts:          c.counts,
+		Quarantined:     c.quarantine.Quarantined(now),
 	}
 	if c.catalog != nil {
 		s.ConfigVersion = c.catalog.Version
