entry: a stream that ends inside an event, or without length before any, has broken off

What callers saw: the answer of an engine that ended in the middle of an event, sent with neither a length nor chunks, was passed on as a complete stream, with half an event as its last one; one that ended before any event came as an empty complete stream. It was not resumed either. Cause: receiver.Done took the end of the body for the end of the answer and appended what was left of the last event. Class: an end that is not marked, taken for a good one. Change: the receiver checks the end: a partial event, or an unframed body without any event, is a failed attempt (typed errors), resumed or cut as any other; with its connection closed it counts as a crash for the quarantine. Comments after the last event are no partial event.

--- a/daemon/entry/receiver.go
+++ b/daemon/entry/receiver.go
@@ -32,6 +32,11 @@
 	// isStream is true if this response is a stream; errors on a streaming route
 	// are not.
 	isStream bool
+	// isUnframed is true if the body has neither a length nor chunks, so that only the
+	// end of the connection ends it.
+	isUnframed bool
+	// hasEvent is true once the stream had an event.
+	hasEvent bool
 }
 
 // Head implements httpc.Sink.
@@ -40,6 +45,7 @@
 	n.head = upstream.DecodeHead(status, header)
 	n.header = upstream.ResponseHeader(header)
 	r.isStream = r.streaming && status == http.StatusOK
+	r.isUnframed = header.Get("Content-Length") == "" && header.Get("Transfer-Encoding") == ""
 }
 
 // Body implements httpc.Sink.
@@ -58,6 +64,7 @@
 	}
 	n.body.Bytes = append(n.body.Bytes, events.Bytes...)
 	n.body.HasData = n.body.HasData || events.HasData
+	r.hasEvent = r.hasEvent || events.HasData || events.Last != 0
 	if n.body.FirstEvent == 0 {
 		n.body.FirstEvent = events.First
 	}
@@ -73,11 +80,33 @@
 // Done implements httpc.Sink.
 func (r *receiver) Done() {
 	n := r.pendingUpdate()
-	n.body.Bytes = append(n.body.Bytes, r.splitter.Rest()...)
+	rest := r.splitter.Rest()
+	if err := r.checkEnd(rest); err != nil {
+		n.failure = &relay.Failure{Disconnected: r.isUnframed, Detail: err.Error()}
+		r.offerFinal(n)
+		return
+	}
+	n.body.Bytes = append(n.body.Bytes, rest...)
 	n.done = true
 	r.offerFinal(n)
 }
 
+// checkEnd checks that a stream is complete where its body ends, with the given rest
+// after the last event: not inside an event, and not before the first one if the body
+// ends with its connection, as that of an upstream whose process has ended does.
+func (r *receiver) checkEnd(rest []byte) error {
+	switch {
+	case !r.isStream:
+		return nil
+	case sse.IsPartialEvent(rest):
+		return &PartialEventError{Bytes: len(rest)}
+	case r.isUnframed && !r.hasEvent:
+		return &EmptyStreamError{}
+	default:
+		return nil
+	}
+}
+
 // Failed implements httpc.Sink.
 func (r *receiver) Failed(err error) {
 	var notSent *httpc.NotSentError
--- a/edge/sse/splitter.go
+++ b/edge/sse/splitter.go
@@ -42,6 +42,18 @@
 	return rest
 }
 
+// IsPartialEvent reports whether the bytes after the last complete event belong to
+// another event, and not only to comments.
+func IsPartialEvent(rest []byte) bool {
+	for line := range bytes.Lines(rest) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // lastEventEnd returns the index after the blank line that ends the last complete
 // event; 0 if there is none. Lines end with LF or CRLF.
 func lastEventEnd(p []byte) int {
