--- a/proof/entry/path_test.go
+++ b/proof/entry/path_test.go
@@ -236,6 +236,32 @@
 		}
 	})
 
+	// Guards against an entry of another writer that ends the processes which read the
+	// list, or keeps them from following it.
+	It("goes on following the list after entries that no upstream writes", func() {
+		a := s.upstream("app", replica.Config{ID: "a"})
+		g = s.start("g1")
+		odd := func(key, value string) {
+			posted(s.store, func() { operator.WriteRawUpstream(s.store, key, []byte(value)) })
+		}
+		odd("nested", `{"service":"app","address":"127.0.0.1:9","slots":4,"state":"ready","x":`+strings.Repeat("[", 40000))
+		odd("nested2", `{"service":"app","address":"127.0.0.1:9","slots":4,"state":"ready","x":`+strings.Repeat("[", 20000)+strings.Repeat("]", 20000)+`}`)
+		odd("large", `{"service":"app","address":"127.0.0.1:9","slots":1e300,"state":"ready","born":1e300}`)
+		odd("huge", `{"service":"app","address":"127.0.0.1:9","slots":1e999,"state":"ready"}`)
+		odd("port", `{"service":"app","address":"127.0.0.1:99999","slots":4,"state":"ready"}`)
+		odd("port0", `{"service":"app","address":"127.0.0.1:0","slots":4,"state":"ready"}`)
+		odd("line\r\nTenant: other", `{"service":"app","address":"`+a.Address()+`","slots":4,"state":"ready"}`)
+		s.upstream("app", replica.Config{ID: "b"})
+		Eventually(func() int {
+			g.ask("POST", "/once/x", "key", "x")
+			return len(runs(s.replicas["b"]))
+		}, "5s", "20ms").Should(BeNumerically(">", 0))
+		for range 20 {
+			Expect(g.ask("POST", "/once/x", "key", "b").status).To(Equal(http.StatusOK))
+		}
+		Expect(g.isReady()).To(BeTrue())
+	})
+
 	It("answers 503 and is not ready while it knows no configuration", func() {
 		hosttest.SetFaults(s.store.Address(), host.Faults{Down: true})
 		g = s.startUnready("g1")
