relay: only numbered events go on with a stream that had begun

Reported by another operator: a stream had begun and broke off; the next replica answered with an error. Verdict: for errors (5xx, 4xx, refusals, 421), answers without a seal or to another request: it could not happen. For successes it could: a 200 of another content type, another 2xx, and a body of blocks that are no numbered events, such as the head of another response, were passed on into the stream, which then ended as complete. Cause: the kind of an answer was judged by its status alone, and what is no progress was taken for a comment. First answers pass unchanged.

--- a/daemon/entry/receiver.go
+++ b/daemon/entry/receiver.go
@@ -44,7 +44,7 @@
 	n := r.pendingUpdate()
 	n.head = upstream.DecodeHead(status, header)
 	n.header = upstream.ResponseHeader(header)
-	r.isStream = r.streaming && status == http.StatusOK
+	r.isStream = r.streaming && !n.head.NoEvents
 	r.isUnframed = header.Get("Content-Length") == "" && header.Get("Transfer-Encoding") == ""
 }
 
@@ -64,6 +64,7 @@
 	}
 	n.body.Bytes = append(n.body.Bytes, events.Bytes...)
 	n.body.HasData = n.body.HasData || events.HasData
+	n.body.Unnumbered = n.body.Unnumbered || events.Unnumbered
 	r.hasEvent = r.hasEvent || events.HasData || events.Last != 0
 	if n.body.FirstEvent == 0 {
 		n.body.FirstEvent = events.First
--- a/edge/sse/events.go
+++ b/edge/sse/events.go
@@ -10,4 +10,6 @@
 	// HasData is set if one of them is an event with data, not only a comment or a
 	// keep-alive without any field.
 	HasData bool
+	// Unnumbered is set if one of them has fields, but no numeric id.
+	Unnumbered bool
 }
--- a/edge/sse/splitter.go
+++ b/edge/sse/splitter.go
@@ -69,24 +69,41 @@
 
 // readFields sets what the fields of the events tell.
 func (e *Events) readFields() {
+	hasField, hasID := false, false
 	for p := e.Bytes; len(p) > 0; {
 		line, rest, _ := bytes.Cut(p, []byte("\n"))
 		p = rest
-		if bytes.HasPrefix(line, []byte("data")) {
-			e.HasData = true
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) == 0 {
+			e.Unnumbered = e.Unnumbered || hasField && !hasID
+			hasField, hasID = false, false
 			continue
 		}
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
+		if line[0] == ':' {
 			continue
 		}
-		n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		if err != nil {
-			continue
-		}
-		if e.First == 0 {
-			e.First = n
-		}
-		e.Last = n
+		hasField = true
+		hasID = e.readField(line) || hasID
+	}
+}
+
+// readField sets what one field tells, and reports whether it is a numeric id.
+func (e *Events) readField(line []byte) bool {
+	if bytes.HasPrefix(line, []byte("data")) {
+		e.HasData = true
+		return false
+	}
+	value, ok := bytes.CutPrefix(line, []byte("id:"))
+	if !ok {
+		return false
+	}
+	n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+	if err != nil {
+		return false
+	}
+	if e.First == 0 {
+		e.First = n
 	}
+	e.Last = n
+	return true
 }
--- a/edge/sse/splitter_test.go
+++ b/edge/sse/splitter_test.go
@@ -48,6 +48,20 @@
 		Expect(events.HasData).To(BeFalse())
 	})
 
+	DescribeTable("tells events without a number", func(text string, unnumbered bool) {
+		var s sse.Splitter
+		events, err := s.Add([]byte(text))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(events.Unnumbered).To(Equal(unnumbered))
+	},
+		Entry("numbered", "id: 1\ndata: x\n\n", false),
+		Entry("numbered, further field first", "weight-versions: 3\nid: 1\ndata: x\n\n", false),
+		Entry("comment", ": x\n\n", false),
+		Entry("data only", "id: 1\ndata: x\n\ndata: y\n\n", true),
+		Entry("head of another response", "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n", true),
+		Entry("id that is no number", "id: x\ndata: y\n\n", true),
+	)
+
 	It("rejects an event without an end", func() {
 		var s sse.Splitter
 		var err error
--- a/serving/relay/attempt.go
+++ b/serving/relay/attempt.go
@@ -9,6 +9,7 @@
 	sent         clock.Instant
 	lastActivity clock.Instant // last body chunk of a stream, or sent
 	retryAt      clock.Instant // when another upstream is tried; 0: never
+	resumes      bool          // the caller has the beginning of the stream
 	head         ResponseHead
 	hasHead      bool
 	hasEvent     bool
--- a/serving/relay/body_chunk.go
+++ b/serving/relay/body_chunk.go
@@ -10,6 +10,8 @@
 	FirstEvent, LastEvent int64
 	// HasData is set if Bytes holds an event with data.
 	HasData bool
+	// Unnumbered is set if Bytes holds an event without a number.
+	Unnumbered bool
 }
 
 // isProgress reports whether a stream has made progress. Comments alone are none.
--- a/serving/relay/core_done.go
+++ b/serving/relay/core_done.go
@@ -20,8 +20,10 @@
 		c.handleNotRun(s, "rejected by the upstream", now)
 	case h.isSuccess() && !h.Sealed:
 		c.handleBroken(s, Failure{Detail: "success response without a seal"}, now)
-	case h.isSuccess() && isStream(s.route):
+	case h.isSuccess() && isStream(s.route) && !h.NoEvents:
 		c.completeStream(s, now)
+	case h.isSuccess() && s.streamStarted:
+		c.handleBroken(s, Failure{Detail: "success response without events in a resumed stream"}, now)
 	default:
 		c.completeReply(s, now)
 	}
--- a/serving/relay/core_place.go
+++ b/serving/relay/core_place.go
@@ -174,7 +174,7 @@
 	s.tried = append(s.tried, m)
 	s.upstream = m.upstream.ID
 	s.predicted = p
-	s.attempt = &attempt{ref: s.ref(), member: m, sent: now, lastActivity: now, predicted: p}
+	s.attempt = &attempt{ref: s.ref(), member: m, sent: now, lastActivity: now, predicted: p, resumes: s.streamStarted}
 	m.open++
 	m.prefillTokens += p.uncached
 	if s.request.Prompt != nil {
--- a/serving/relay/core_response.go
+++ b/serving/relay/core_response.go
@@ -37,10 +37,16 @@
 	if a == nil || !a.hasHead {
 		return
 	}
-	if !isStream(s.route) || !a.head.isSuccess() || !a.head.Sealed {
+	if !isStream(s.route) || !a.head.hasEvents() {
 		a.body = append(a.body, chunk.Bytes...)
 		return
 	}
+	if a.resumes && chunk.Unnumbered {
+		// It can't be told where that belongs.
+		c.emit(Cancel{Ref: a.ref})
+		c.handleBroken(s, Failure{Detail: "event without a number in a resumed stream"}, now)
+		return
+	}
 	if chunk.isProgress() {
 		a.lastActivity = now
 		a.progress++
--- a/serving/relay/response_head.go
+++ b/serving/relay/response_head.go
@@ -9,6 +9,8 @@
 	Sealed bool
 	// NotRun is true if the upstream reports that it did not run the request.
 	NotRun bool
+	// NoEvents is true if the body is not a stream of events.
+	NoEvents bool
 	// Misdirected is true if a different upstream now has the address.
 	Misdirected bool
 }
@@ -17,3 +19,9 @@
 func (h ResponseHead) isSuccess() bool {
 	return h.Status >= 200 && h.Status < 300
 }
+
+// hasEvents reports whether the body is a stream of events that may be passed on
+// piece by piece.
+func (h ResponseHead) hasEvents() bool {
+	return h.isSuccess() && h.Sealed && !h.NoEvents
+}
