entry: a resumed stream never repeats events that the caller has

Cause: events were left out only by whole pieces; an upstream that sends a stream from its beginning, with several events in one piece across the point of resumption, repeated those before it (ORDER). Change: sse.Events.After; the receiver drops what the attempt was told the caller has.

--- a/daemon/entry/receiver.go
+++ b/daemon/entry/receiver.go
@@ -24,7 +24,9 @@
 	ref relay.AttemptRef
 	// streaming is true if the route is answered by a stream of events.
 	streaming bool
-	inbox     *ring.Ring[dispatchMessage]
+	// after is the number of the last event that the caller has; 0 if it has none.
+	after int64
+	inbox *ring.Ring[dispatchMessage]
 
 	splitter sse.Splitter
 	// pending is the update that has not been sent yet.
@@ -59,9 +61,13 @@
 		return nil
 	}
 	events, err := r.splitter.Add(p)
-	if err != nil || len(events.Bytes) == 0 {
+	if err != nil {
 		return err
 	}
+	events = events.After(r.after)
+	if len(events.Bytes) == 0 {
+		return nil
+	}
 	n.body.Bytes = append(n.body.Bytes, events.Bytes...)
 	n.body.HasData = n.body.HasData || events.HasData
 	n.body.Unnumbered = n.body.Unnumbered || events.Unnumbered
