relay: an ejected upstream that rejects its probe is tried again

What callers saw: fewer upstreams than there are, after a time in which one was ejected and then full: it got no request ever again from that gateway. Cause: a request to an ejected upstream marks it as probed until the result is known; a rejection as not run told health nothing, so that it stayed marked, with weight 0. Change: handleNotRun tells health that the attempt told nothing. Failed before: relay_test "gives an ejected upstream another try after one that told nothing", entry "rejected as not run". Measured: go test ./serving/relay green.

--- a/serving/relay/core_failed.go
+++ b/serving/relay/core_failed.go
@@ -23,6 +23,7 @@
 func (c *Core) handleNotRun(s *requestState, detail string, now clock.Instant) {
 	s.possibleRuns--
 	s.detail = detail
+	s.pool.health.Abandoned(&s.attempt.member.record)
 	c.endAttempt(s)
 	if s.abandoned {
 		c.endRequest(s, Abandoned, !s.mayHaveRun, now)
--- a/serving/relay/relay_test.go
+++ b/serving/relay/relay_test.go
@@ -210,6 +210,42 @@
 		Expect(h.core.OpenRequests()).To(BeZero())
 	})
 
+	// Guards against an upstream that is left out for good after it was ejected once.
+	DescribeTable("gives an ejected upstream another try after one that told nothing", func(end func(s relay.Send)) {
+		h.upstreams("a", "b", "c", "d")
+		preferred := ""
+		for range 2 {
+			h.arrive("once")
+			s := nextSend()
+			preferred = s.Upstream.ID
+			h.core.AttemptFailed(s.Ref, relay.Failure{Detail: "reset"}, h.now)
+		}
+		for range 3 {
+			h.advance(20 * time.Second)
+			h.core.Actions()
+			h.arrive("once")
+			s := nextSend()
+			Expect(s.Upstream.ID).To(Equal(preferred))
+			end(s)
+			h.core.Actions()
+		}
+	},
+		Entry("rejected as not run", func(s relay.Send) {
+			h.core.HeadReceived(s.Ref, relay.ResponseHead{Status: 503, NotRun: true}, h.now)
+			h.core.ResponseEnded(s.Ref, h.now)
+		}),
+		Entry("timed out while events came", func(s relay.Send) {
+			h.advance(900 * time.Millisecond)
+			h.core.HeadReceived(s.Ref, sealedOK, h.now)
+			h.core.BodyReceived(s.Ref, relay.BodyChunk{Bytes: []byte(": x"), HasData: true}, h.now)
+			h.advance(200 * time.Millisecond)
+		}),
+		Entry("without a seal", func(s relay.Send) {
+			h.core.HeadReceived(s.Ref, relay.ResponseHead{Status: 200}, h.now)
+			h.core.ResponseEnded(s.Ref, h.now)
+		}),
+	)
+
 	It("treats an upstream that restarted under its ID as a new one", func() {
 		h.arrive("once")
 		s := nextSend()
