--- a/daemon/entry/coordinator.go
+++ b/daemon/entry/coordinator.go
@@ -13,6 +13,7 @@
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
 	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
+	"github.com/sycamorecourse/sycamorecourse/serving/roster"
 	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
 )
@@ -88,22 +89,26 @@
 	clock     clock.Clock
 	log       zerolog.Logger
 
-	containment     containment
-	record          cluster.Record
-	records         *exchange.RecordLog
-	view            *cluster.View
-	hubs            []string      // names, as last sent to the peers duty
-	newsAt          clock.Instant // of the last news of a hub
-	listAt          clock.Instant // when the records are next read from the store
-	limitWindow     time.Duration // over which the use of limits is counted
-	tally           *usage.Tally
-	reporter        *usage.Reporter
-	reportsUsage    bool
-	planner         *scale.Planner
-	readRates       map[string]float64 // of one engine of each service, in tokens per second
-	fleet           setFleet
-	plannedAt       clock.Instant
-	ordersUpstreams bool
+	containment  containment
+	record       cluster.Record
+	records      *exchange.RecordLog
+	view         *cluster.View
+	hubs         []string      // names, as last sent to the peers duty
+	newsAt       clock.Instant // of the last news of a hub
+	listAt       clock.Instant // when the records are next read from the store
+	limitWindow  time.Duration // over which the use of limits is counted
+	tally        *usage.Tally
+	reporter     *usage.Reporter
+	reportsUsage bool
+	planner      *scale.Planner
+	readRates    map[string]float64 // of one engine of each service, in tokens per second
+	fleet        setFleet
+	// departedAt holds when upstreams have told this gateway that they are leaving, and
+	// departuresPassed those of other gateways that the watch duty has been told of.
+	departedAt       map[roster.Departure]clock.Instant
+	departuresPassed map[roster.Departure]bool
+	plannedAt        clock.Instant
+	ordersUpstreams  bool
 
 	lease            *lease.Lease
 	leaseStepAt      clock.Instant // when the next lease step is due; 0 during a call
@@ -208,6 +213,8 @@
 		c.handleCountsRead(m, now)
 	case usageReported:
 		c.handleUsageReported(m, now)
+	case upstreamDeparted:
+		c.handleDeparted(m.departure, now)
 	case upstreamsOrdered:
 		c.handleUpstreamsOrdered(m, now)
 	case setFleet:
--- a/daemon/entry/dispatcher.go
+++ b/daemon/entry/dispatcher.go
@@ -14,6 +14,7 @@
 	"github.com/sycamorecourse/sycamorecourse/edge/httpd"
 	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
 	"github.com/sycamorecourse/sycamorecourse/serving/relay"
+	"github.com/sycamorecourse/sycamorecourse/serving/roster"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
 )
 
@@ -34,6 +35,7 @@
 type dispatcher struct {
 	inbox    *ring.Ring[dispatchMessage]
 	cluster  *ring.Ring[clusterMessage]
+	watch    *ring.Ring[watchMessage]
 	upstream *httpc.Client
 	core     *relay.Core
 	clock    clock.Clock
@@ -54,6 +56,8 @@
 	usageWindow time.Duration
 	// usageCounts holds the counts by usage window that are not yet published.
 	usageCounts map[int64]usage.Counts
+	// departed are the upstreams of whose leaving the watch duty is not yet told.
+	departed []roster.Departure
 	// publishedAt is when statistics were last sent to the cluster duty.
 	publishedAt clock.Instant
 }
@@ -222,6 +226,31 @@
 	d.usageCounts[window][customer]++
 }
 
+// handleDeparted passes on that an upstream has said that it is leaving.
+func (d *dispatcher) handleDeparted(departure roster.Departure) {
+	offerOrLog(d.cluster, clusterMessage(upstreamDeparted{departure: departure}), d.log)
+	d.departed = append(d.departed, departure)
+	d.publishDepartures()
+}
+
+// publishDepartures tells the watch duty what it does not know yet. If its ring is
+// full, that is done again with the next statistics.
+func (d *dispatcher) publishDepartures() {
+	if len(d.departed) > 0 && d.watch.Offer(watchMessage{departed: d.departed, source: roster.SourceAnswer}) == nil {
+		d.departed = nil
+	}
+}
+
+// logPause logs that an upstream wants no requests for some time.
+func (d *dispatcher) logPause(n relay.UpstreamPaused) {
+	if n.Ignored {
+		d.log.Warn().Str("upstream", n.Upstream).Msg("upstream_pause_ignored")
+		return
+	}
+	d.metrics.paused.Inc()
+	d.log.Info().Str("upstream", n.Upstream).Int64("for_ms", n.For.Milliseconds()).Msg("upstream_paused")
+}
+
 // publishStats sends the statistics since the last time to the cluster duty. If
 // its ring is full, the usage counts go with the next message.
 func (d *dispatcher) publishStats(now clock.Instant) {
@@ -230,6 +259,7 @@
 		return
 	}
 	d.publishedAt = now
+	d.publishDepartures()
 	d.metrics.update(d.core, now)
 	stats := requestStats{
 		counts:       d.usageCounts,
--- a/daemon/entry/entry_new.go
+++ b/daemon/entry/entry_new.go
@@ -20,6 +20,7 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
 	"github.com/sycamorecourse/sycamorecourse/serving/health"
 	"github.com/sycamorecourse/sycamorecourse/serving/relay"
+	"github.com/sycamorecourse/sycamorecourse/serving/roster"
 	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
 )
@@ -56,6 +57,7 @@
 	e.watch.dispatch, e.watch.directory, e.watch.cluster = dispatchRing, directoryRing, clusterRing
 	e.watch.store, e.watch.clock, e.watch.log = store, clock.System{}, log
 	e.watch.propagationLimit = s.PropagationLimit
+	e.watch.metrics, e.dispatch.watch = e.dispatch.metrics, e.watch.inbox
 	e.cluster = e.newCoordinator(store, clusterRing)
 	e.peers = newPeers(s.Instance, s.FailureDomain)
 	e.peers.inbox = ring.New[peerMessage]("peers", controlCapacity)
@@ -135,6 +137,7 @@
 		reportsUsage:    s.ReportsUsage && s.CloudAddress != "",
 		ordersUpstreams: s.OrdersUpstreams && s.CloudAddress != "",
 		planner:         scale.NewPlanner(),
+		departedAt:      make(map[roster.Departure]clock.Instant),
 		lease:           lease.New(leaseName, config, lease.Holder{Instance: s.Instance, Incarnation: incarnation}),
 	}
 }
--- a/daemon/entry/metrics.go
+++ b/daemon/entry/metrics.go
@@ -21,6 +21,8 @@
 	duration     *prometheus.HistogramVec
 	open         prometheus.Gauge
 	quarantined  prometheus.Gauge
+	departed     *prometheus.CounterVec
+	paused       prometheus.Counter
 	promptTokens *prometheus.GaugeVec
 }
 
@@ -56,12 +58,20 @@
 			Name: "sycamore_prompt_parts_quarantined",
 			Help: "Prompt parts whose requests are refused since they crash upstreams.",
 		}),
+		departed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamore_upstreams_departed_total",
+			Help: "Upstreams that have said in an answer that they are leaving, by who got the answer.",
+		}, []string{"source"}),
+		paused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sycamore_upstream_pauses_total",
+			Help: "Pauses that upstreams have asked for.",
+		}),
 		promptTokens: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "sycamore_prompt_tokens",
 			Help: "Prompt tokens of requests that ran since the start: all, and those believed to be cached.",
 		}, []string{"what"}),
 	}
-	registry.MustRegister(m.ended, m.retried, m.broken, m.firstEvent, m.duration, m.open, m.quarantined, m.promptTokens)
+	registry.MustRegister(m.ended, m.retried, m.broken, m.firstEvent, m.duration, m.open, m.quarantined, m.departed, m.paused, m.promptTokens)
 	return m
 }
 
--- a/daemon/entry/watch_apply.go
+++ b/daemon/entry/watch_apply.go
@@ -57,6 +57,18 @@
 	}
 }
 
+// handleDepartures takes over which upstreams have said that they are leaving.
+func (w *watch) handleDepartures(m watchMessage, now clock.Instant) {
+	for _, d := range m.departed {
+		if !w.roster.Depart(d, now) {
+			continue
+		}
+		w.upstreamsChanged = true
+		w.metrics.departed.WithLabelValues(string(m.source)).Inc()
+		w.log.Info().Str("upstream", d.ID).Int64("started_ms", d.StartedAtMillis).Str("source", string(m.source)).Msg("upstream_departed")
+	}
+}
+
 func (w *watch) applyConfig(p rows.Page) {
 	for _, r := range p.Rows {
 		if r.Key.Sort != served.ConfigKey || r.Removed {
--- a/daemon/entry/watch_message.go
+++ b/daemon/entry/watch_message.go
@@ -5,11 +5,12 @@
 	"github.com/sycamorecourse/sycamorecourse/daemon/report"
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
+	"github.com/sycamorecourse/sycamorecourse/serving/roster"
 )
 
 // watchMessage is a message to the watch duty: the store's response to a call for
-// a table, the changes that a hub has passed on, this gateway's role, or a request
-// for a state dump.
+// a table, the changes that a hub has passed on, this gateway's role, upstreams that
+// have said that they are leaving, or a request for a state dump.
 type watchMessage struct {
 	table   string
 	isList  bool
@@ -17,5 +18,9 @@
 	err     error
 	updates []exchange.TableUpdate
 	role    *watchRole
-	dump    *ring.Ring[report.Section]
+	// departed are upstreams that have said in an answer that they are leaving, to this
+	// gateway or to another one.
+	departed []roster.Departure
+	source   roster.Source
+	dump     *ring.Ring[report.Section]
 }
--- a/proof/entry/path_test.go
+++ b/proof/entry/path_test.go
@@ -206,6 +206,41 @@
 		Eventually(served, "5s", "10ms").Should(BeFalse())
 	})
 
+	It("sends nothing to an upstream that says in an answer that it is leaving, at any gateway", func() {
+		a := s.upstream("app", replica.Config{ID: "a", Leaving: true})
+		g = s.start("g1")
+		other := s.start("g2")
+		Expect(g.ask("POST", "/once/x", "key", "b").status).To(Equal(http.StatusOK))
+		s.upstream("app", replica.Config{ID: "b"})
+		Eventually(func() int { return g.ask("POST", "/once/x", "key", "b").status }, "5s", "20ms").Should(Equal(http.StatusOK))
+		// The other gateway learns it from the first one, and not from the store.
+		time.Sleep(2500 * time.Millisecond)
+		before := len(runs(a))
+		for range 15 {
+			Expect(g.ask("POST", "/once/x", "key", "b").status).To(Equal(http.StatusOK))
+			Expect(other.ask("POST", "/once/x", "key", "b").status).To(Equal(http.StatusOK))
+		}
+		Expect(runs(a)).To(HaveLen(before))
+		Expect(before).To(Equal(1))
+	})
+
+	It("sends nothing to an upstream that asks for a pause, and tells callers when to return", func() {
+		a := s.upstream("app", replica.Config{ID: "a", RejectAll: true, RetryAfter: "1.5"})
+		g = s.start("g1")
+		Expect(g.ask("POST", "/once/x", "key", "b").status).To(Equal(http.StatusServiceUnavailable))
+		posted(a, func() { a.UpdateConfig(func(c *replica.Config) { c.RejectAll = false }) })
+		began := time.Now()
+		for time.Since(began) < 1300*time.Millisecond {
+			got := g.ask("POST", "/once/x", "key", "b")
+			Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+			wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(wait).To(BeNumerically("<=", 2))
+		}
+		Expect(runs(a)).To(BeEmpty())
+		Eventually(func() int { return g.ask("POST", "/once/x", "key", "b").status }, "3s", "50ms").Should(Equal(http.StatusOK))
+	})
+
 	It("follows configurations, also over a history that was forgotten, and never goes back", func() {
 		s.upstream("app", replica.Config{ID: "a"})
 		g = s.start("g1")
--- a/serving/relay/core.go
+++ b/serving/relay/core.go
@@ -114,7 +114,7 @@
 		}
 	}
 	for name, p := range c.pools {
-		p.setUpstreams(services[name])
+		p.setUpstreams(services[name], now)
 	}
 }
 
--- a/serving/relay/core_done.go
+++ b/serving/relay/core_done.go
@@ -16,7 +16,7 @@
 		a.member.misdirected = true
 		c.handleNotRun(s, "another upstream has this address", now)
 	case h.NotRun:
-		a.member.fullUntil = now.Add(fullBackoff)
+		a.member.pause(now.Add(fullBackoff))
 		c.handleNotRun(s, "rejected by the upstream", now)
 	case h.isSuccess() && !h.Sealed:
 		c.handleBroken(s, Failure{Detail: "success response without a seal"}, now)
--- a/serving/relay/core_end.go
+++ b/serving/relay/core_end.go
@@ -68,8 +68,12 @@
 	case s.attempts > 0 && c.isQuarantined(s, now):
 		reason = Quarantined
 	}
+	wait := defaultRetryAfter
+	if s.pool != nil {
+		wait = s.pool.retryAfter(s.request.ID, now)
+	}
 	c.refund(s)
-	c.refuse(s, Refusal{Reason: reason, RetryAfter: defaultRetryAfter}, now)
+	c.refuse(s, Refusal{Reason: reason, RetryAfter: wait}, now)
 }
 
 // refuse ends a request that no upstream has run.
--- a/serving/relay/core_response.go
+++ b/serving/relay/core_response.go
@@ -24,6 +24,7 @@
 	if a == nil {
 		return
 	}
+	c.observeUpstream(a.member, h, now)
 	a.head = h
 	a.hasHead = true
 	s.status = h.Status
--- a/serving/relay/member.go
+++ b/serving/relay/member.go
@@ -36,7 +36,12 @@
 	// prefixes maps the key of a prompt prefix to its last use.
 	prefixes  map[uint64]clock.Instant
 	lastSweep clock.Instant // of prefixes
-	fullUntil clock.Instant
+	// pausedUntil is when the upstream may get requests again after it has rejected one.
+	pausedUntil clock.Instant
+	// leaving is set once the upstream has said that it is leaving.
+	leaving bool
+	// badRetryAfter is set once a pause that it asked for could not be read.
+	badRetryAfter bool
 	// misdirected is set when another upstream answered at the address.
 	misdirected bool
 	// errorRate is the moving average of responses that were server errors.
--- a/serving/relay/pool.go
+++ b/serving/relay/pool.go
@@ -12,7 +12,10 @@
 	members map[string]*member // by ID
 	list    []*member          // the same, for iteration
 	health  *health.Group
-	budget  retryBudget
+	// pauses holds the pauses of former members, by their start, in case the list lacks
+	// them only for a time.
+	pauses map[uint64]clock.Instant
+	budget retryBudget
 	// errorRate is the moving average of responses that were server errors, over
 	// all members.
 	errorRate float64
@@ -26,6 +29,7 @@
 	return &pool{
 		service: service,
 		members: make(map[string]*member),
+		pauses:  make(map[uint64]clock.Instant),
 		health:  health.NewGroup(config.Health),
 		speed:   newEngineSpeed(),
 
@@ -36,19 +40,29 @@
 
 // setUpstreams replaces the members of the pool. An upstream that restarted under
 // its ID or moved to another address is a new member.
-func (p *pool) setUpstreams(upstreams map[string]*catalog.Upstream) {
+func (p *pool) setUpstreams(upstreams map[string]*catalog.Upstream, now clock.Instant) {
+	for start, until := range p.pauses {
+		if !now.Before(until) {
+			delete(p.pauses, start)
+		}
+	}
 	for id, m := range p.members {
 		u := upstreams[id]
 		if u == nil || u.StartedAtMillis != m.upstream.StartedAtMillis || u.Address != m.upstream.Address {
 			p.health.Remove(&m.record)
 			delete(p.members, id)
+			if now.Before(m.pausedUntil) {
+				p.pauses[m.startHash] = m.pausedUntil
+			}
 			continue
 		}
 		m.upstream = u
 	}
 	for id, u := range upstreams {
 		if p.members[id] == nil {
-			p.members[id] = newMember(u)
+			m := newMember(u)
+			m.pausedUntil = p.pauses[m.startHash]
+			p.members[id] = m
 			p.health.Add()
 		}
 	}
--- a/serving/relay/response_head.go
+++ b/serving/relay/response_head.go
@@ -1,5 +1,7 @@
 package relay
 
+import "time"
+
 // ResponseHead is what decisions depend on in the head of an upstream's response.
 type ResponseHead struct {
 	// Status is the HTTP status.
@@ -11,6 +13,13 @@
 	NotRun bool
 	// NoEvents is true if the body is not a stream of events.
 	NoEvents bool
+	// Leaving is true if the upstream says that it is leaving.
+	Leaving bool
+	// RetryAfter is how long the upstream wants no further requests from this gateway;
+	// 0 if it did not say.
+	RetryAfter time.Duration
+	// BadRetryAfter is true if it said so in a way that can't be read.
+	BadRetryAfter bool
 	// Misdirected is true if a different upstream now has the address.
 	Misdirected bool
 }
--- a/serving/roster/doc.go
+++ b/serving/roster/doc.go
@@ -4,6 +4,8 @@
 // # Invariants
 //
 //   - An upstream that is marked as leaving is unusable at once.
+//   - So is one that has said in an answer that it is leaving, until it starts anew,
+//     whatever an entry says that is behind.
 //   - An upstream whose entry is removed is unusable at once, unless the store
 //     has just become available again. Entries of live upstreams expire while
 //     the store is unavailable, and are written again afterwards. So upstreams
--- a/serving/roster/roster.go
+++ b/serving/roster/roster.go
@@ -7,12 +7,17 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
 )
 
+// departureLifetime is how long a departure is kept at least.
+const departureLifetime = 5 * time.Minute
+
 // Roster is the list of upstreams that one process knows. One thread owns it.
 type Roster struct {
 	grace   time.Duration
 	entries map[string]*catalog.Upstream
 	// lapsed are the upstreams that lost their entries in the grace period.
 	lapsed map[string]lapsedEntry
+	// departed holds the upstreams that have said in an answer that they are leaving.
+	departed map[Departure]clock.Instant
 	// isStoreUnavailable is set while the store does not answer.
 	isStoreUnavailable bool
 	// storeRecoveredAt is when the store last became available again; 0 if it
@@ -28,6 +33,8 @@
 		grace:   grace,
 		entries: make(map[string]*catalog.Upstream),
 		lapsed:  make(map[string]lapsedEntry),
+
+		departed: make(map[Departure]clock.Instant),
 	}
 }
 
@@ -58,10 +65,54 @@
 	}
 }
 
-// Set adds or replaces one entry.
+// Set adds or replaces one entry. One that still calls an upstream ready which has
+// said that it is leaving does not bring it back.
 func (r *Roster) Set(u *catalog.Upstream) {
 	delete(r.lapsed, u.ID)
-	r.entries[u.ID] = u
+	r.entries[u.ID] = r.withDeparture(u)
+}
+
+// Depart records that an upstream has said in an answer, to this gateway or another
+// one, that it is leaving. It returns false if that was known.
+func (r *Roster) Depart(d Departure, now clock.Instant) bool {
+	if _, ok := r.departed[d]; ok {
+		return false
+	}
+	r.dropDepartures(now)
+	r.departed[d] = now
+	if u := r.entries[d.ID]; u != nil {
+		r.entries[d.ID] = r.withDeparture(u)
+	}
+	if l, ok := r.lapsed[d.ID]; ok && DepartureOf(l.upstream) == d {
+		delete(r.lapsed, d.ID)
+	}
+	return true
+}
+
+// Departures returns the number of upstreams that are known to leave by their answers.
+func (r *Roster) Departures() int {
+	return len(r.departed)
+}
+
+// withDeparture returns an upstream as draining if it has said that it is leaving.
+func (r *Roster) withDeparture(u *catalog.Upstream) *catalog.Upstream {
+	if _, ok := r.departed[DepartureOf(u)]; !ok || u.Draining {
+		return u
+	}
+	leaving := *u
+	leaving.Draining = true
+	return &leaving
+}
+
+// dropDepartures forgets those of upstreams that have had no entry for long enough
+// that no old one is read any more.
+func (r *Roster) dropDepartures(now clock.Instant) {
+	for d, at := range r.departed {
+		u := r.entries[d.ID]
+		if now.Sub(at) >= departureLifetime && (u == nil || DepartureOf(u) != d) {
+			delete(r.departed, d)
+		}
+	}
 }
 
 // Remove removes an entry. In the grace period the upstream stays usable until
--- a/serving/roster/roster_test.go
+++ b/serving/roster/roster_test.go
@@ -61,4 +61,46 @@
 		r.Remove("a", at(grace))
 		Expect(r.Usable(at(grace))).To(BeEmpty())
 	})
+
+	// Guards against an upstream being used again that has said it is leaving.
+	It("excludes an upstream by its own word, whatever a store that is behind says", func() {
+		r := roster.New(grace)
+		r.Set(&catalog.Upstream{ID: "a", StartedAtMillis: 7})
+		r.Set(&catalog.Upstream{ID: "b", StartedAtMillis: 7})
+		d := roster.Departure{ID: "a", StartedAtMillis: 7}
+		Expect(r.Depart(d, at(0))).To(BeTrue())
+		Expect(r.Depart(d, at(0))).To(BeFalse())
+		Expect(ids(r.Usable(at(0)))).To(ConsistOf("b"))
+		r.Set(&catalog.Upstream{ID: "a", StartedAtMillis: 7})
+		Expect(ids(r.Usable(at(time.Second)))).To(ConsistOf("b"))
+		r.Remove("a", at(2*time.Second))
+		r.Replace(map[string]*catalog.Upstream{"a": {ID: "a", StartedAtMillis: 7}, "b": {ID: "b", StartedAtMillis: 7}}, at(time.Minute))
+		Expect(ids(r.Usable(at(time.Minute)))).To(ConsistOf("b"))
+		for _, u := range r.List() {
+			Expect(u.Draining).To(Equal(u.ID == "a"))
+		}
+	})
+
+	It("uses an upstream that has started anew, or another one at its address", func() {
+		r := roster.New(grace)
+		r.Set(&catalog.Upstream{ID: "a", Address: "10.0.0.1:80", StartedAtMillis: 7})
+		r.Depart(roster.Departure{ID: "a", StartedAtMillis: 7}, at(0))
+		r.Set(&catalog.Upstream{ID: "a", Address: "10.0.0.1:80", StartedAtMillis: 8})
+		Expect(ids(r.Usable(at(0)))).To(ConsistOf("a"))
+		r.Set(&catalog.Upstream{ID: "c", Address: "10.0.0.1:80"})
+		Expect(ids(r.Usable(at(0)))).To(ConsistOf("a", "c"))
+	})
+
+	It("keeps a departure that comes before the entry, and one that lapsed stays out", func() {
+		r := roster.New(grace)
+		r.Depart(roster.Departure{ID: "a"}, at(0))
+		r.Set(&catalog.Upstream{ID: "a"})
+		r.Set(&catalog.Upstream{ID: "b"})
+		r.StoreUnavailable()
+		r.StoreAvailable(at(0))
+		r.Remove("b", at(0))
+		Expect(ids(r.Usable(at(0)))).To(ConsistOf("b"))
+		r.Depart(roster.Departure{ID: "b"}, at(0))
+		Expect(r.Usable(at(0))).To(BeEmpty())
+	})
 })
--- a/standin/replica/config.go
+++ b/standin/replica/config.go
@@ -20,6 +20,10 @@
 	// RejectAll rejects all requests with status 503 and a field that says that
 	// they have not run.
 	RejectAll bool
+	// RetryAfter is the text of the field Retry-After of rejections; empty means none.
+	RetryAfter string
+	// Leaving marks all responses as those of a replica that is leaving.
+	Leaving bool
 	// FailStatus is the status of all responses; 0 means 200.
 	FailStatus int
 	// DropResponses closes the connection instead of sending the response. The
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -48,6 +48,9 @@
 // stream after that event.
 func (r *Replica) serve(c *host.Call) {
 	header := http.Header{"Attempt-Id": {c.Header.Get("Attempt-Id")}}
+	if r.config.Leaving {
+		header.Set("Server-Leaving", "1")
+	}
 	if expected := c.Header.Get("Expect-Instance"); expected != "" && expected != r.config.ID {
 		header.Set("Instance-Id", r.config.ID)
 		c.Reply(http.StatusMisdirectedRequest, header, nil)
@@ -55,6 +58,9 @@
 	}
 	if r.config.RejectAll {
 		header.Set("Not-Executed", "1")
+		if r.config.RetryAfter != "" {
+			header.Set("Retry-After", r.config.RetryAfter)
+		}
 		c.Reply(http.StatusServiceUnavailable, header, nil)
 		return
 	}
