--- a/edge/httpc/client.go
+++ b/edge/httpc/client.go
@@ -159,7 +159,7 @@
 			continue
 		}
 		if conn.isStale(now) {
-			_ = conn.conn.Close()
+			pollers.Shutdown(conn.conn)
 			continue
 		}
 		return conn
@@ -200,7 +200,8 @@
 func (c *Client) cancel(call *Call) {
 	call.canceled = true
 	if call.conn != nil && call.conn.current.Load() == call {
-		_ = call.conn.conn.CloseWithError(&CanceledError{})
+		call.conn.canceled.Store(true)
+		pollers.Shutdown(call.conn.conn)
 	}
 }
 
@@ -216,7 +217,7 @@
 func (c *Client) putIdle(conn *connection) {
 	list := c.idle[conn.address]
 	if len(list) >= c.config.MaxIdle {
-		_ = conn.conn.Close()
+		pollers.Shutdown(conn.conn)
 		return
 	}
 	conn.idleSince = time.Now()
--- a/edge/httpc/connection.go
+++ b/edge/httpc/connection.go
@@ -24,7 +24,9 @@
 	address string
 	conn    *nbio.Conn
 	current atomic.Pointer[Call]
-	onIdle  func(*connection)
+	// canceled is set before the connection is shut down for a canceled call.
+	canceled atomic.Bool
+	onIdle   func(*connection)
 	// idleSince is when the connection was last put into the pool. The client's
 	// thread owns it.
 	idleSince time.Time
@@ -161,6 +163,9 @@
 	if call == nil {
 		return
 	}
+	if c.canceled.Load() {
+		err = &CanceledError{}
+	}
 	if !c.closeDelimited {
 		call.Sink.Failed(&IncompleteError{Address: c.address, Err: translateError(err, call)})
 		return
--- a/edge/httpd/exchange.go
+++ b/edge/httpd/exchange.go
@@ -9,6 +9,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/edge/pollers"
 )
 
 // lingerTimeout bounds the wait for a client to close its connection after the
@@ -98,7 +100,7 @@
 // response for a complete one.
 func (x *Exchange) Abort() {
 	x.state.abort(x)
-	_ = x.conn.Close()
+	pollers.Shutdown(x.conn)
 }
 
 // DisableKeepAlive makes this the last exchange of its connection: the response
--- a/edge/httpd/server.go
+++ b/edge/httpd/server.go
@@ -163,7 +163,7 @@
 	state := s.stateOf(parser)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		_ = conn.Close()
+		pollers.Shutdown(conn)
 		return
 	}
 	x := &Exchange{
@@ -184,7 +184,7 @@
 	}
 	if !state.serveOrQueue(x) {
 		// The client pipelined more than one request.
-		_ = conn.Close()
+		pollers.Shutdown(conn)
 	}
 }
 
--- a/edge/pollers/doc.go
+++ b/edge/pollers/doc.go
@@ -1,3 +1,4 @@
-// Package pollers waits until the pollers of an nbio engine are running. An engine
-// that is stopped earlier may never end; see Await.
+// Package pollers holds what has to be known of the pollers of an nbio engine: an
+// engine that is stopped before they run may never end (Await), and a connection must
+// not be closed beside them (Shutdown).
 package pollers
