--- a/proof/soak/faults/driver.go
+++ b/proof/soak/faults/driver.go
@@ -34,9 +34,12 @@
 
 	world  *world.World
 	random *rand.Rand
-	log    zerolog.Logger
-	steps  []step
-	now    time.Duration
+	// words draws what upstreams say of themselves. It is a sequence of its own, so that
+	// a seed goes on to stand for the same faults.
+	words *rand.Rand
+	log   zerolog.Logger
+	steps []step
+	now   time.Duration
 	// down holds when a gateway is to be started again.
 	down map[*world.Gateway]time.Duration
 	// killAt holds when a gateway that was told to end is killed.
@@ -46,7 +49,7 @@
 // New makes a driver. What it does is logged.
 func New(w *world.World, seed uint64, log zerolog.Logger) *Driver {
 	return &Driver{
-		world: w, random: rand.New(rand.NewPCG(seed, 3)), log: log,
+		world: w, random: rand.New(rand.NewPCG(seed, 3)), words: rand.New(rand.NewPCG(seed, 4)), log: log,
 		down: make(map[*world.Gateway]time.Duration), killAt: make(map[*world.Gateway]time.Duration),
 	}
 }
@@ -228,7 +231,8 @@
 	what := ""
 	switch d.random.IntN(5) {
 	case 0:
-		change, what = func(c *replica.Config) { c.RejectAll = true }, "full"
+		wait := []string{"", "0.5", "1", "2", "soon", "-1"}[d.words.IntN(6)]
+		change, what = func(c *replica.Config) { c.RejectAll, c.RetryAfter = true, wait }, "full, "+wait
 	case 1:
 		change, what = func(c *replica.Config) { c.FailStatus = 500 }, "fails"
 	case 2:
@@ -244,6 +248,7 @@
 	d.add(0, u.ID+" "+what, set(change))
 	d.add(d.span(2*time.Second), u.ID+" heals", set(func(c *replica.Config) {
 		c.RejectAll, c.FailStatus, c.DropResponses, c.NeverRespond, c.BreakAfter = false, 0, false, false, 0
+		c.RetryAfter = ""
 	}))
 }
 
@@ -258,5 +263,10 @@
 		gone = leaveTime
 		d.add(0, u.ID+" leaves", func() error { return d.world.Register(u, operator.Draining) })
 	}
+	if gone > 0 && d.words.IntN(2) == 0 {
+		d.add(0, u.ID+" says that it leaves", func() error {
+			return world.Posted(u.Replica, func() { u.Replica.UpdateConfig(func(c *replica.Config) { c.Leaving = true }) })
+		})
+	}
 	d.add(gone, u.ID+" is gone", func() error { return d.world.Remove(u) })
 }
