quarantine, entry: the log of crashes is a type of its own, files are split by concern

Cause: tracker.go and coordinator_records.go had grown past what reads well; the moments of crashes were counted through an empty suspect. Change: crashLog with its methods, decide.go, change_kind.go, coordinator_evidence.go; a part that another part explains makes no suspect. No decision changes. Measured: go test ./serving/quarantine ./serving/relay ./daemon/entry green.

--- a/daemon/entry/coordinator_records.go
+++ b/daemon/entry/coordinator_records.go
@@ -10,7 +10,6 @@
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
 	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
-	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
 )
 
@@ -237,24 +236,6 @@
 	offerOrLog(c.dispatch, dispatchMessage(setClockOffset{offset: c.clockOffset()}), c.log)
 }
 
-// publishEvidence hands over what the gateways know of prompt parts that may crash
-// upstreams, a former process of this instance included.
-func (c *coordinator) publishEvidence(now clock.Instant) {
-	list := shiftEvidence(c.view.Evidence(), time.Duration(now)-c.storeNow(now))
-	if len(list) > 0 {
-		offerOrLog(c.dispatch, dispatchMessage(mergeEvidence{list: list}), c.log)
-	}
-}
-
-// shiftEvidence moves the times of evidence from one clock to another.
-func shiftEvidence(list []quarantine.Evidence, d time.Duration) []quarantine.Evidence {
-	out := make([]quarantine.Evidence, 0, len(list))
-	for _, e := range list {
-		out = append(out, e.Shift(d))
-	}
-	return out
-}
-
 // publishHubs tells the peers and watch duties which gateways are hubs, if that has
 // changed.
 func (c *coordinator) publishHubs(ready []cluster.Record) {
--- a/serving/quarantine/change.go
+++ b/serving/quarantine/change.go
@@ -2,19 +2,6 @@
 
 import "github.com/sycamorecourse/sycamorecourse/coord/clock"
 
-// ChangeKind is the kind of a Change.
-type ChangeKind string
-
-// Kinds of changes.
-const (
-	// Quarantined: requests with the part are refused from now on.
-	Quarantined ChangeKind = "prompt_part_quarantined"
-	// Probing: one request with the part was let through on trial.
-	Probing ChangeKind = "prompt_part_probed"
-	// Released: the part was answered after all.
-	Released ChangeKind = "prompt_part_released"
-)
-
 // Change is a change of the quarantine of a part, for the log.
 type Change struct {
 	// Kind is what has changed.
--- a/serving/quarantine/merge.go
+++ b/serving/quarantine/merge.go
@@ -105,7 +105,7 @@
 // forget removes the suspects that nothing is held against any more.
 func (t *Tracker) forget(now clock.Instant) {
 	for part, s := range t.suspects {
-		s.expire(now)
+		s.crashes.expire(now)
 		isAccused := len(s.crashes) > 0 || s.hasVerdict() && now.Sub(s.quarantinedUntil) < crashLifetime
 		isNews := s.isPublished && now.Sub(s.changedAt) < publishTime
 		if !isAccused && !isNews {
--- a/serving/quarantine/suspect.go
+++ b/serving/quarantine/suspect.go
@@ -2,8 +2,6 @@
 
 import (
 	"math"
-	"sort"
-	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 )
@@ -17,10 +15,6 @@
 	// minCrashRate is the least assumed share of harmless attempts that end in a
 	// crash.
 	minCrashRate = 0.02
-	// sameMoment is the time within which crashes count as one.
-	sameMoment = 200 * time.Millisecond
-	// crashLifetime is how long a crash counts.
-	crashLifetime = 10 * time.Minute
 	// maxCrashes bounds the crashes that are kept of one part.
 	maxCrashes = 48
 )
@@ -31,7 +25,7 @@
 	service string
 	depth   int
 	// crashes holds those since succeededAt, by upstream.
-	crashes     map[uint64]clock.Instant
+	crashes     crashLog
 	succeededAt clock.Instant
 
 	quarantinedAt    clock.Instant
@@ -53,7 +47,7 @@
 
 func newSuspect(part uint64, service string, succeededAt clock.Instant) *suspect {
 	return &suspect{
-		part: part, service: service, crashes: make(map[uint64]clock.Instant), succeededAt: succeededAt,
+		part: part, service: service, crashes: make(crashLog), succeededAt: succeededAt,
 		quarantinedAt: never, quarantinedUntil: never, probedAt: never, changedAt: never,
 	}
 }
@@ -81,16 +75,12 @@
 
 // addCrash adds a crash unless the part was answered after it.
 func (s *suspect) addCrash(upstream uint64, at, now clock.Instant) {
-	if !at.After(s.succeededAt) {
-		return
-	}
-	if known, ok := s.crashes[upstream]; ok && !at.Before(known) {
+	if !at.After(s.succeededAt) || !s.crashes.add(upstream, at) {
 		return
 	}
-	s.crashes[upstream] = at
 	s.changedAt = now
 	if len(s.crashes) > maxCrashes {
-		delete(s.crashes, s.sortedCrashes()[0].Upstream)
+		delete(s.crashes, s.crashes.sorted()[0].Upstream)
 	}
 }
 
@@ -100,50 +90,7 @@
 		return
 	}
 	s.succeededAt = at
-	for upstream, crashedAt := range s.crashes {
-		if !crashedAt.After(at) {
-			delete(s.crashes, upstream)
-		}
-	}
-}
-
-// expire forgets crashes that no longer count.
-func (s *suspect) expire(now clock.Instant) {
-	for upstream, at := range s.crashes {
-		if now.Sub(at) >= crashLifetime {
-			delete(s.crashes, upstream)
-		}
-	}
-}
-
-// sortedCrashes returns the crashes, the oldest first.
-func (s *suspect) sortedCrashes() []Crash {
-	list := make([]Crash, 0, len(s.crashes))
-	for upstream, at := range s.crashes {
-		list = append(list, Crash{Upstream: upstream, At: time.Duration(at)})
-	}
-	sort.Slice(list, func(i, j int) bool {
-		if list[i].At != list[j].At {
-			return list[i].At < list[j].At
-		}
-		return list[i].Upstream < list[j].Upstream
-	})
-	return list
-}
-
-// moments counts the crashes that are not in a set. Crashes within sameMoment count
-// once: engines that end together have a common cause outside the prompts.
-func (s *suspect) moments(explained map[uint64]bool) int {
-	n := 0
-	last := time.Duration(never)
-	for _, c := range s.sortedCrashes() {
-		if explained[c.Upstream] || c.At-last < sameMoment {
-			continue
-		}
-		n++
-		last = c.At
-	}
-	return n
+	s.crashes.forget(at)
 }
 
 // forgive forgets the crashes in a set.
@@ -175,20 +122,11 @@
 	return !s.wasAnswered() && 2*crashes >= crashesOfAll && s.othersSucceeded >= crashes
 }
 
-// firstCrash returns when the first crash was that counts.
-func (s *suspect) firstCrash() clock.Instant {
-	first := clock.Instant(math.MaxInt64)
-	for _, at := range s.crashes {
-		first = min(first, at)
-	}
-	return first
-}
-
 // evidence returns what is known, with times of this process.
 func (s *suspect) evidence() Evidence {
 	return Evidence{
 		Part: s.part, Service: s.service, Depth: s.depth,
-		Crashes:          s.sortedCrashes(),
+		Crashes:          s.crashes.sorted(),
 		SucceededAt:      duration(s.succeededAt),
 		QuarantinedAt:    duration(s.quarantinedAt),
 		QuarantinedUntil: duration(s.quarantinedUntil),
--- a/serving/quarantine/tracker.go
+++ b/serving/quarantine/tracker.go
@@ -1,17 +1,12 @@
 package quarantine
 
 import (
-	"sort"
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 )
 
 const (
-	// firstQuarantine is the length of a part's first quarantine. Each further one
-	// takes twice as long, up to maxQuarantine.
-	firstQuarantine = 5 * time.Minute
-	maxQuarantine   = time.Hour
 	// probeTimeout is the time after which a request on trial that was neither
 	// answered nor at a crash is followed by another.
 	probeTimeout = 30 * time.Second
@@ -33,14 +28,14 @@
 	suspects  map[uint64]*suspect
 	succeeded generations
 	// crashes holds when upstreams were seen to crash.
-	crashes  map[uint64]clock.Instant
+	crashes  crashLog
 	changes  []Change
 	isUrgent bool
 }
 
 // NewTracker makes a Tracker without evidence.
 func NewTracker() *Tracker {
-	return &Tracker{suspects: make(map[uint64]*suspect), crashes: make(map[uint64]clock.Instant)}
+	return &Tracker{suspects: make(map[uint64]*suspect), crashes: make(crashLog)}
 }
 
 // Crashed records that an upstream of a service ended while an answer to a prompt
@@ -54,8 +49,11 @@
 	}
 	isExplained := t.hasBlocked(parts)
 	for _, part := range parts {
+		if isExplained && !t.isBlocked(part.ID) {
+			continue
+		}
 		s := t.suspect(part.ID, service, now)
-		if s == nil || isExplained && !s.isBlocked() {
+		if s == nil {
 			continue
 		}
 		s.depth = max(s.depth, part.Depth)
@@ -68,13 +66,19 @@
 // hasBlocked reports whether a prompt has a part that is sent only on trial.
 func (t *Tracker) hasBlocked(parts []Part) bool {
 	for _, part := range parts {
-		if s := t.suspects[part.ID]; s != nil && s.isBlocked() {
+		if t.isBlocked(part.ID) {
 			return true
 		}
 	}
 	return false
 }
 
+// isBlocked reports whether requests with a part are sent only on trial.
+func (t *Tracker) isBlocked(part uint64) bool {
+	s := t.suspects[part]
+	return s != nil && s.isBlocked()
+}
+
 // Succeeded records a complete answer to a prompt with the given parts.
 func (t *Tracker) Succeeded(service string, parts []Part, now clock.Instant) {
 	for _, part := range parts {
@@ -134,93 +138,13 @@
 	return 0, true
 }
 
-// decide quarantines the parts whose crashes are more than chance explains, the
-// most suspect first. What these explain does not count against the others.
-func (t *Tracker) decide(now clock.Instant) {
-	var verdicts, open []*suspect
-	for _, s := range t.suspects {
-		s.expire(now)
-		if s.hasVerdict() {
-			verdicts = append(verdicts, s)
-		} else {
-			open = append(open, s)
-		}
-	}
-	sort.Slice(verdicts, func(i, j int) bool { return moreSuspect(verdicts[i], verdicts[j]) })
-	sort.Slice(open, func(i, j int) bool { return moreSuspect(open[i], open[j]) })
-	explained := make(map[uint64]bool)
-	for _, s := range verdicts {
-		t.review(s, explained, now)
-		if s.isBlocked() {
-			t.renew(s, now)
-			explain(explained, s)
-		}
-	}
-	for _, s := range open {
-		s.forgive(explained)
-		if t.isGuilty(s, s.moments(explained)) {
-			t.quarantine(s, now)
-			explain(explained, s)
-		}
-	}
-}
-
-// review decides whether a quarantine is still in force: a gateway may have decided
-// it before it knew of the part that explains the crashes. Without its crashes, which
-// expire, it stays as it was.
-func (t *Tracker) review(s *suspect, explained map[uint64]bool, now clock.Instant) {
-	was := s.isExplained
-	if len(s.crashes) >= minCrashes {
-		s.isExplained = s.moments(explained) < minCrashes
-	}
-	switch {
-	case s.isExplained && !was:
-		t.logChange(Released, s, true)
-	case !s.isExplained && was && s.isQuarantined(now):
-		t.logChange(Quarantined, s, true)
-	}
-}
-
-// logChange appends a change for the log.
-func (t *Tracker) logChange(kind ChangeKind, s *suspect, own bool) {
-	t.changes = append(t.changes, Change{
-		Kind: kind, Part: s.part, Service: s.service, Crashes: len(s.crashes), Own: own, Until: s.quarantinedUntil,
-	})
-}
-
-// isGuilty reports whether a number of crashes of a part suffices for a quarantine.
-func (t *Tracker) isGuilty(s *suspect, crashes int) bool {
-	if crashes < minCrashes {
-		return false
-	}
-	return s.isUnlikely(crashes) || s.isCommon(crashes, t.crashesSince(s.firstCrash()))
-}
-
-// crashesSince counts the moments at or after an instant at which upstreams crashed.
-func (t *Tracker) crashesSince(first clock.Instant) int {
-	all := suspect{crashes: make(map[uint64]clock.Instant)}
-	for upstream, at := range t.crashes {
-		if !at.Before(first) {
-			all.crashes[upstream] = at
-		}
-	}
-	return all.moments(nil)
-}
-
 // recordCrash remembers that an upstream crashed, whatever was there.
 func (t *Tracker) recordCrash(upstream uint64, at, now clock.Instant) {
-	if known, ok := t.crashes[upstream]; ok && !at.Before(known) {
-		return
-	}
 	if len(t.crashes) >= maxRecordedCrashes {
-		for u, crashedAt := range t.crashes {
-			if now.Sub(crashedAt) >= crashLifetime {
-				delete(t.crashes, u)
-			}
-		}
+		t.crashes.expire(now)
 	}
 	if len(t.crashes) < maxRecordedCrashes {
-		t.crashes[upstream] = at
+		t.crashes.add(upstream, at)
 	}
 }
 
@@ -236,52 +160,6 @@
 	return true
 }
 
-// moreSuspect orders parts for decide: those that were never answered first, then
-// by crashes. Among parts that were always together the deepest comes first, since
-// the fewest prompts have it: if it was another one, that one's next crash without
-// it shows.
-func moreSuspect(a, b *suspect) bool {
-	if a.wasAnswered() != b.wasAnswered() {
-		return b.wasAnswered()
-	}
-	if len(a.crashes) != len(b.crashes) {
-		return len(a.crashes) > len(b.crashes)
-	}
-	if a.depth != b.depth {
-		return a.depth > b.depth
-	}
-	return a.part < b.part
-}
-
-// explain adds the crashes of a quarantined part to the explained ones.
-func explain(explained map[uint64]bool, s *suspect) {
-	for upstream := range s.crashes {
-		explained[upstream] = true
-	}
-}
-
-// renew quarantines a part anew that has crashed an upstream on trial.
-func (t *Tracker) renew(s *suspect, now clock.Instant) {
-	if !s.wasProbed() {
-		return
-	}
-	for _, at := range s.crashes {
-		if !at.Before(s.probedAt) {
-			t.quarantine(s, now)
-			return
-		}
-	}
-}
-
-func (t *Tracker) quarantine(s *suspect, now clock.Instant) {
-	length := min(firstQuarantine<<min(s.quarantines, 10), maxQuarantine)
-	s.quarantines++
-	s.quarantinedAt, s.quarantinedUntil = now, now.Add(length)
-	s.isExplained = false
-	t.isUrgent = true
-	t.logChange(Quarantined, s, true)
-}
-
 // suspect returns the suspect of a part, made if it is not known. It returns nil if
 // there is no room.
 func (t *Tracker) suspect(part uint64, service string, now clock.Instant) *suspect {
