proof: comments of the soak and of proof/concurrent in the field's terms

Change: comments only, checked by comparing the files without their comment lines; names and checks are as they were.

--- a/proof/concurrent/callers/caller.go
+++ b/proof/concurrent/callers/caller.go
@@ -13,7 +13,7 @@
 	"github.com/sycamorecourse/sycamorecourse/edge/client"
 )
 
-// caller is one caller; its duty owns it.
+// caller is one caller. One thread owns it.
 type caller struct {
 	config   Config
 	number   int
--- a/proof/concurrent/callers/outcome.go
+++ b/proof/concurrent/callers/outcome.go
@@ -1,6 +1,6 @@
 package callers
 
-// Outcome is what a caller was told in the end.
+// Outcome is the final result of a request as its caller knows it.
 type Outcome string
 
 // The outcomes.
--- a/proof/concurrent/callers/record.go
+++ b/proof/concurrent/callers/record.go
@@ -24,7 +24,7 @@
 	Start clock.Instant
 	// End is when the outcome was known.
 	End clock.Instant
-	// Outcome is what the caller was told.
+	// Outcome is the result as the caller knows it.
 	Outcome Outcome
 	// Reason is the reason of a refusal.
 	Reason string
--- a/proof/concurrent/check/allowed.go
+++ b/proof/concurrent/check/allowed.go
@@ -1,6 +1,6 @@
 package check
 
-// Allowed says which outcomes besides a whole answer are no breach.
+// Allowed tells which outcomes other than a complete response are no violation.
 type Allowed struct {
 	// Refused allows refusals as not run.
 	Refused bool
--- a/proof/concurrent/check/doc.go
+++ b/proof/concurrent/check/doc.go
@@ -1,2 +1,3 @@
-// Package check compares what callers were told with what upstreams ran.
+// Package check compares the responses that callers received with the audit logs of
+// the upstreams.
 package check
--- a/proof/concurrent/check/history.go
+++ b/proof/concurrent/check/history.go
@@ -10,7 +10,7 @@
 	"github.com/sycamorecourse/sycamorecourse/standin/service"
 )
 
-// History returns all breaches of the rules in a history.
+// History returns all violations of the invariants in a history.
 func History(records []callers.Record, runs *witness.Runs, allowed Allowed) []*Violation {
 	var found []*Violation
 	for i := range records {
@@ -24,7 +24,7 @@
 	return append(found, linearizable(records, runs)...)
 }
 
-// submission checks what one caller was told.
+// submission checks the outcome of one caller.
 func submission(r *callers.Record, allowed Allowed) []*Violation {
 	switch r.Outcome {
 	case callers.Completed:
@@ -55,7 +55,7 @@
 	return allowed.Unknown
 }
 
-// wrongAnswer says what is wrong with a whole answer, empty if nothing is.
+// wrongAnswer describes what is wrong with a complete response; empty if nothing is.
 func wrongAnswer(r *callers.Record) string {
 	if !r.Kind.IsCall() {
 		n, _ := engine.CompletionLength(r.Model, "", r.Prompt, r.MaxTokens)
--- a/proof/concurrent/check/model.go
+++ b/proof/concurrent/check/model.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// seen takes the count of the witnesses.
+// seen handles the number of runs in the audit logs.
 func seen(s state, runs int) []interface{} {
 	if (runs == 0 && s.phase == absent) || (runs == 1 && s.phase == ran) {
 		return []interface{}{s}
--- a/proof/concurrent/check/rule.go
+++ b/proof/concurrent/check/rule.go
@@ -1,6 +1,6 @@
 package check
 
-// Rule is what a history must keep to.
+// Rule names an invariant of a history.
 type Rule string
 
 // The rules.
@@ -13,9 +13,9 @@
 	NotRun Rule = "refused is not run"
 	// Ran: what completed did run.
 	Ran Rule = "completed has run"
-	// NoRefusal: no request is refused, where that is not allowed.
+	// NoRefusal: no request is refused, unless Allowed permits it.
 	NoRefusal Rule = "no refusal"
-	// NoUnknown: no outcome is unknown, where that is not allowed.
+	// NoUnknown: no outcome is unknown, unless Allowed permits it.
 	NoUnknown Rule = "no unknown outcome"
 	// Linearizable: the history of a key fits the model of a request.
 	Linearizable Rule = "linearizable"
--- a/proof/concurrent/witness/doc.go
+++ b/proof/concurrent/witness/doc.go
@@ -1,2 +1,2 @@
-// Package witness gathers what upstreams say that they ran.
+// Package witness reads the audit logs of the upstreams: the requests that they ran.
 package witness
--- a/proof/concurrent/witness/runs.go
+++ b/proof/concurrent/witness/runs.go
@@ -9,7 +9,7 @@
 	"github.com/sycamorecourse/sycamorecourse/standin/service"
 )
 
-// path shows the witness of a stand-in.
+// path serves the audit log of a stand-in.
 const path = "/standin/runs"
 
 // Runs counts the runs of each request.
@@ -26,7 +26,7 @@
 	return &Runs{requests: requests, calls: make(map[string]int)}
 }
 
-// Read asks all upstreams, engines and plain services alike.
+// Read reads the audit logs of all upstreams, engines and plain services alike.
 func Read(client *fetch.Client, upstreams []string) (*Runs, error) {
 	runs := Of(make(map[string]int))
 	for _, address := range upstreams {
@@ -42,7 +42,7 @@
 	return runs, nil
 }
 
-// ReadEngine asks one engine.
+// ReadEngine reads the audit log of one engine.
 func ReadEngine(client *fetch.Client, address string) (engine.AuditLog, error) {
 	body, err := client.Get(address, path)
 	if err != nil {
--- a/proof/soak/faults/driver.go
+++ b/proof/soak/faults/driver.go
@@ -17,19 +17,19 @@
 )
 
 const (
-	// tick is the time between two looks at the processes.
+	// tick is the interval at which processes are checked.
 	tick = 50 * time.Millisecond
 	// longestQuiet bounds the time between two faults.
 	longestQuiet = 700 * time.Millisecond
 	// grace is the time from SIGTERM to SIGKILL.
 	grace = 6 * time.Second
-	// leaveTime is how long an upstream that leaves is announced.
+	// leaveTime is how long an upstream drains before it is removed.
 	leaveTime = 2500 * time.Millisecond
 )
 
 // Driver injects faults. One thread uses it.
 type Driver struct {
-	// OnConfigure is told of each new configuration.
+	// OnConfigure is called for each new configuration.
 	OnConfigure func()
 
 	world  *world.World
@@ -40,9 +40,9 @@
 	log   zerolog.Logger
 	steps []step
 	now   time.Duration
-	// down holds when a gateway is to be started again.
+	// down maps a stopped gateway to the time of its restart.
 	down map[*world.Gateway]time.Duration
-	// killAt holds when a gateway that was told to end is killed.
+	// killAt maps a gateway that got SIGTERM to the time of its SIGKILL.
 	killAt map[*world.Gateway]time.Duration
 }
 
@@ -54,8 +54,8 @@
 	}
 }
 
-// Run injects faults for a while, then ends them all and waits until all gateways
-// are ready.
+// Run injects faults for the given time, then removes them all and waits until all
+// gateways are ready.
 func (d *Driver) Run(length time.Duration) error {
 	start := time.Now()
 	next := time.Duration(0)
@@ -75,7 +75,7 @@
 	return d.heal()
 }
 
-// due carries out the steps that are due and looks after the processes.
+// due carries out the steps that are due, and kills and restarts processes on time.
 func (d *Driver) due() error {
 	for len(d.steps) > 0 && d.steps[0].at <= d.now {
 		s := d.steps[0]
@@ -104,7 +104,7 @@
 	return nil
 }
 
-// heal ends all faults.
+// heal removes all faults.
 func (d *Driver) heal() error {
 	d.now = 1 << 62
 	if err := d.due(); err != nil {
@@ -126,13 +126,13 @@
 	return time.Duration(d.random.Int64N(int64(longest))) + time.Millisecond
 }
 
-// add plans a step after a while.
+// add schedules a step after a delay.
 func (d *Driver) add(after time.Duration, name string, do func() error) {
 	d.steps = append(d.steps, step{at: d.now + after, name: name, do: do})
 	sort.SliceStable(d.steps, func(i, j int) bool { return d.steps[i].at < d.steps[j].at })
 }
 
-// draw plans one fault and its end.
+// draw schedules a random fault and its removal.
 func (d *Driver) draw() error {
 	g := d.world.Gateways[d.random.IntN(len(d.world.Gateways))]
 	u := d.world.Upstreams[d.random.IntN(len(d.world.Upstreams))]
@@ -252,7 +252,7 @@
 	}))
 }
 
-// replace lets an upstream leave, announced or not, and another take its place.
+// replace removes an upstream, with or without a drain, and adds another one.
 func (d *Driver) replace(u *world.Upstream) {
 	d.add(0, "one for "+u.ID, func() error {
 		_, err := d.world.AddUpstream(u.Service)
--- a/proof/soak/judge/doc.go
+++ b/proof/soak/judge/doc.go
@@ -1,2 +1,3 @@
-// Package judge checks what callers were told against what upstreams have run.
+// Package judge compares the responses that callers received with the requests that
+// upstreams have run.
 package judge
--- a/proof/soak/judge/history.go
+++ b/proof/soak/judge/history.go
@@ -12,7 +12,7 @@
 	"github.com/sycamorecourse/sycamorecourse/standin/replica"
 )
 
-// History checks all records against all runs.
+// History checks the records of all callers against the runs of all upstreams.
 func History(records []load.Record, runs []replica.Run) []Violation {
 	var found []Violation
 	sent := make(map[string]load.Record, len(records))
@@ -38,7 +38,7 @@
 	return append(found, versions(records)...)
 }
 
-// one checks a request that ran a number of times.
+// one checks one request, given how often it ran.
 func one(r load.Record, ran int) []Violation {
 	var found []Violation
 	note := func(rule Rule, detail string) {
@@ -66,7 +66,7 @@
 	return found
 }
 
-// answer is the whole body of a success.
+// answer is the complete body of a successful response.
 func answer(r load.Record) string {
 	switch r.Kind {
 	case load.Once:
@@ -81,8 +81,8 @@
 	return text.String()
 }
 
-// versions checks that on no connection a route is unknown which an answer on it
-// has shown to be known.
+// versions checks that a configuration never goes back on a connection: a route that
+// was served there once is not unknown later.
 func versions(records []load.Record) []Violation {
 	var found []Violation
 	byStart := append([]load.Record{}, records...)
@@ -100,7 +100,7 @@
 	return found
 }
 
-// Reports checks the usage reports that the platform took.
+// Reports checks the usage reports that the platform has accepted.
 func Reports(reports []duties.UsageReport) []Violation {
 	var found []Violation
 	counts := make(map[int64]string)
--- a/proof/soak/judge/rule.go
+++ b/proof/soak/judge/rule.go
@@ -1,9 +1,9 @@
 package judge
 
-// Rule names a promise.
+// Rule names an invariant.
 type Rule string
 
-// The promises.
+// The invariants.
 const (
 	// AtMostOnce: what may not be repeated runs once at most.
 	AtMostOnce Rule = "at most once"
--- a/proof/soak/judge/violation.go
+++ b/proof/soak/judge/violation.go
@@ -1,8 +1,8 @@
 package judge
 
-// Violation is a broken promise.
+// Violation is a broken invariant.
 type Violation struct {
-	// Rule is the promise.
+	// Rule is the invariant.
 	Rule Rule
 	// ID names the request, if it is about one.
 	ID string
--- a/proof/soak/load/caller.go
+++ b/proof/soak/load/caller.go
@@ -18,14 +18,15 @@
 const (
 	// keep is how long a caller keeps the addresses.
 	keep = 2 * time.Second
-	// patience bounds a request, and deadline is what the system is told of it.
+	// patience is the caller's own timeout of a request, and deadline the timeout that it
+	// sends with the request.
 	patience = 5 * time.Second
 	deadline = 4 * time.Second
 	// longestPause bounds the time between two requests.
 	longestPause = 40 * time.Millisecond
 )
 
-// caller is one caller; its duty owns it.
+// caller is one caller. One thread owns it.
 type caller struct {
 	config    Config
 	number    int
--- a/proof/soak/load/config.go
+++ b/proof/soak/load/config.go
@@ -8,7 +8,7 @@
 	Seed uint64
 	// Directories are the addresses that are asked which to use.
 	Directories []string
-	// Ways maps an address of the system to the one that callers connect to.
+	// Ways maps an address of a gateway to that of the relay which callers connect to.
 	Ways map[string]string
 	// Host and Credential are those of all requests.
 	Host, Credential string
--- a/proof/soak/load/doc.go
+++ b/proof/soak/load/doc.go
@@ -1,3 +1,3 @@
 // Package load runs callers that ask the directory for addresses, keep their
-// connections until the process is gone, and record what they are told.
+// connections until the process is gone, and record the responses.
 package load
--- a/proof/soak/load/kind.go
+++ b/proof/soak/load/kind.go
@@ -1,6 +1,6 @@
 package load
 
-// Kind is what a caller asks for.
+// Kind is the kind of a request.
 type Kind string
 
 // The kinds.
--- a/proof/soak/world/gateway.go
+++ b/proof/soak/world/gateway.go
@@ -20,14 +20,14 @@
 	callerPort    = 7100
 	readyPort     = 7101
 	directoryPort = 7102
-	// endPatience bounds the wait for the end of a process after SIGKILL.
+	// endPatience is the timeout for the end of a process after SIGKILL.
 	endPatience = 20 * time.Second
 )
 
 // Gateway is an entry gateway, as a process that ends and is started again. One
 // thread uses it; Caller, Ready and Directory may be used by any.
 type Gateway struct {
-	// Name is its instance.
+	// Name is the name of the instance.
 	Name string
 	// Store and Callers are the relays between it and the store, and before its
 	// callers.
@@ -40,7 +40,7 @@
 	command  *exec.Cmd
 	waiter   *thread.Thread
 	ended    *ring.Ring[int]
-	// asked is set once the present process was told to end.
+	// asked is set once the current process got a signal to end.
 	asked  atomic.Bool
 	strays *atomic.Int64
 }
--- a/proof/soak/world/not_ready_error.go
+++ b/proof/soak/world/not_ready_error.go
@@ -1,8 +1,8 @@
 package world
 
-// NotReadyError reports a gateway that did not get ready.
+// NotReadyError reports a gateway that did not become ready in time.
 type NotReadyError struct {
-	// Gateway names it.
+	// Gateway is the name of the gateway.
 	Gateway string
 }
 
--- a/proof/soak/world/posted.go
+++ b/proof/soak/world/posted.go
@@ -6,7 +6,7 @@
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
 )
 
-// postPatience bounds the wait for the duty of a stand-in.
+// postPatience is the timeout for the thread of a stand-in.
 const postPatience = 20 * time.Second
 
 // Posted runs f on the duty of a stand-in and waits for it. It fails with a
--- a/proof/soak/world/stuck_error.go
+++ b/proof/soak/world/stuck_error.go
@@ -1,6 +1,6 @@
 package world
 
-// StuckError reports a stand-in whose duty did not take its turn.
+// StuckError reports a stand-in whose thread does not respond.
 type StuckError struct{}
 
 // Error implements error.
--- a/proof/soak/world/world.go
+++ b/proof/soak/world/world.go
@@ -25,7 +25,7 @@
 	Events = 6
 	// eventPause is the time between two of them, or before another answer.
 	eventPause = 15 * time.Millisecond
-	// readyPatience bounds the wait for all gateways to get ready.
+	// readyPatience is the timeout for all gateways to become ready.
 	readyPatience = 20 * time.Second
 	// readyPause is the time between two questions.
 	readyPause = 50 * time.Millisecond
@@ -37,7 +37,7 @@
 	Store *rowstore.Store
 	// Cloud takes the calls of singleton duties.
 	Cloud *duties.API
-	// Gateways are the processes.
+	// Gateways are the processes under test.
 	Gateways []*Gateway
 	// Upstreams are those that there are now.
 	Upstreams []*Upstream
@@ -50,7 +50,7 @@
 	strays  atomic.Int64
 }
 
-// Open starts everything and waits until all gateways are ready.
+// Open starts the stand-ins and the gateways, and waits until all are ready.
 func Open(config Config) (*World, error) {
 	w := &World{config: config, Store: rowstore.New("127.0.0.1:0"), Cloud: duties.New("127.0.0.1:0")}
 	if err := w.Store.Open(); err != nil {
@@ -144,7 +144,7 @@
 	return w.write(entry.Write)
 }
 
-// write lets the store's duty write, and waits for it.
+// write writes to the store on its thread and waits for the result.
 func (w *World) write(do func(*rowstore.Store) error) error {
 	var failed error
 	if err := Posted(w.Store, func() { failed = do(w.Store) }); err != nil {
@@ -209,7 +209,7 @@
 	return all, err
 }
 
-// Strays is the number of processes that ended without being told to.
+// Strays is the number of processes that ended by themselves.
 func (w *World) Strays() int64 { return w.strays.Load() }
 
 // Close ends all that was started.
