Names: the field's terms for quarantine decisions and upstreams' drains

Cause: read as a newcomer would: verdict, guilty, deadly, departure and the like are no terms of the field. No decision changes. Measured: go test ./serving/quarantine ./serving/relay ./serving/roster ./serving/cluster ./platform/upstream ./daemon/entry green.

--- a/daemon/entry/coordinator.go
+++ b/daemon/entry/coordinator.go
@@ -103,12 +103,12 @@
 	planner      *scale.Planner
 	readRates    map[string]float64 // of one engine of each service, in tokens per second
 	fleet        setFleet
-	// departedAt holds when upstreams have told this gateway that they are leaving, and
-	// departuresPassed those of other gateways that the watch duty has been told of.
-	departedAt       map[roster.Departure]clock.Instant
-	departuresPassed map[roster.Departure]bool
-	plannedAt        clock.Instant
-	ordersUpstreams  bool
+	// drainingAt holds when upstreams have told this gateway that they are leaving, and
+	// drainingPassed those of other gateways that the watch duty has been told of.
+	drainingAt      map[roster.Incarnation]clock.Instant
+	drainingPassed  map[roster.Incarnation]bool
+	plannedAt       clock.Instant
+	ordersUpstreams bool
 
 	lease            *lease.Lease
 	leaseStepAt      clock.Instant // when the next lease step is due; 0 during a call
@@ -213,8 +213,8 @@
 		c.handleCountsRead(m, now)
 	case usageReported:
 		c.handleUsageReported(m, now)
-	case upstreamDeparted:
-		c.handleDeparted(m.departure, now)
+	case upstreamDraining:
+		c.handleDraining(m.incarnation, now)
 	case upstreamsOrdered:
 		c.handleUpstreamsOrdered(m, now)
 	case setFleet:
--- a/daemon/entry/coordinator_records.go
+++ b/daemon/entry/coordinator_records.go
@@ -50,7 +50,7 @@
 func (c *coordinator) updateRecord(now clock.Instant) {
 	c.record.Sequence++
 	c.record.Windows = recordWindows(c.tally)
-	c.updateDepartures(now)
+	c.updateDraining(now)
 	c.record.WrittenAt = c.storeNow(now)
 	c.records.Put(c.record)
 }
@@ -231,7 +231,7 @@
 	}
 	c.publishHubs(ready)
 	c.publishEvidence(now)
-	c.publishDepartures()
+	c.publishDraining()
 	offerOrLog(c.dispatch, dispatchMessage(message), c.log)
 	offerOrLog(c.dispatch, dispatchMessage(setClockOffset{offset: c.clockOffset()}), c.log)
 }
--- a/daemon/entry/dispatcher.go
+++ b/daemon/entry/dispatcher.go
@@ -56,8 +56,8 @@
 	usageWindow time.Duration
 	// usageCounts holds the counts by usage window that are not yet published.
 	usageCounts map[int64]usage.Counts
-	// departed are the upstreams of whose leaving the watch duty is not yet told.
-	departed []roster.Departure
+	// draining are upstreams that are leaving, which the watch duty does not know yet.
+	draining []roster.Incarnation
 	// publishedAt is when statistics were last sent to the cluster duty.
 	publishedAt clock.Instant
 }
@@ -226,18 +226,18 @@
 	d.usageCounts[window][customer]++
 }
 
-// handleDeparted passes on that an upstream has said that it is leaving.
-func (d *dispatcher) handleDeparted(departure roster.Departure) {
-	offerOrLog(d.cluster, clusterMessage(upstreamDeparted{departure: departure}), d.log)
-	d.departed = append(d.departed, departure)
-	d.publishDepartures()
+// handleDraining passes on that an upstream has said that it is leaving.
+func (d *dispatcher) handleDraining(incarnation roster.Incarnation) {
+	offerOrLog(d.cluster, clusterMessage(upstreamDraining{incarnation: incarnation}), d.log)
+	d.draining = append(d.draining, incarnation)
+	d.publishDraining()
 }
 
-// publishDepartures tells the watch duty what it does not know yet. If its ring is
+// publishDraining tells the watch duty what it does not know yet. If its ring is
 // full, that is done again with the next statistics.
-func (d *dispatcher) publishDepartures() {
-	if len(d.departed) > 0 && d.watch.Offer(watchMessage{departed: d.departed, source: roster.SourceAnswer}) == nil {
-		d.departed = nil
+func (d *dispatcher) publishDraining() {
+	if len(d.draining) > 0 && d.watch.Offer(watchMessage{draining: d.draining, source: roster.SourceAnswer}) == nil {
+		d.draining = nil
 	}
 }
 
@@ -259,7 +259,7 @@
 		return
 	}
 	d.publishedAt = now
-	d.publishDepartures()
+	d.publishDraining()
 	d.metrics.update(d.core, now)
 	stats := requestStats{
 		counts:       d.usageCounts,
--- a/daemon/entry/dispatcher_actions.go
+++ b/daemon/entry/dispatcher_actions.go
@@ -30,8 +30,8 @@
 		d.logRequest(&a)
 	case relay.QuarantineChanged:
 		d.logQuarantine(a.Change, now)
-	case relay.UpstreamDeparted:
-		d.handleDeparted(a.Departure)
+	case relay.UpstreamDraining:
+		d.handleDraining(a.Incarnation)
 	case relay.UpstreamPaused:
 		d.logPause(a)
 	case relay.AttemptBroken:
--- a/daemon/entry/entry_new.go
+++ b/daemon/entry/entry_new.go
@@ -137,7 +137,7 @@
 		reportsUsage:    s.ReportsUsage && s.CloudAddress != "",
 		ordersUpstreams: s.OrdersUpstreams && s.CloudAddress != "",
 		planner:         scale.NewPlanner(),
-		departedAt:      make(map[roster.Departure]clock.Instant),
+		drainingAt:      make(map[roster.Incarnation]clock.Instant),
 		lease:           lease.New(leaseName, config, lease.Holder{Instance: s.Instance, Incarnation: incarnation}),
 	}
 }
--- a/daemon/entry/metrics.go
+++ b/daemon/entry/metrics.go
@@ -21,7 +21,7 @@
 	duration     *prometheus.HistogramVec
 	open         prometheus.Gauge
 	quarantined  prometheus.Gauge
-	departed     *prometheus.CounterVec
+	draining     *prometheus.CounterVec
 	paused       prometheus.Counter
 	promptTokens *prometheus.GaugeVec
 }
@@ -58,8 +58,8 @@
 			Name: "sycamore_prompt_parts_quarantined",
 			Help: "Prompt parts whose requests are refused since they crash upstreams.",
 		}),
-		departed: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sycamore_upstreams_departed_total",
+		draining: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamore_upstreams_draining_total",
 			Help: "Upstreams that have said in an answer that they are leaving, by who got the answer.",
 		}, []string{"source"}),
 		paused: prometheus.NewCounter(prometheus.CounterOpts{
@@ -71,7 +71,7 @@
 			Help: "Prompt tokens of requests that ran since the start: all, and those believed to be cached.",
 		}, []string{"what"}),
 	}
-	registry.MustRegister(m.ended, m.retried, m.broken, m.firstEvent, m.duration, m.open, m.quarantined, m.departed, m.paused, m.promptTokens)
+	registry.MustRegister(m.ended, m.retried, m.broken, m.firstEvent, m.duration, m.open, m.quarantined, m.draining, m.paused, m.promptTokens)
 	return m
 }
 
--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -127,8 +127,8 @@
 		_ = m.dump.Offer(report.Section{Name: "watch", State: w.dump(now)})
 	case m.role != nil:
 		w.isHub = m.role.isHub
-	case m.departed != nil:
-		w.handleDepartures(m, now)
+	case m.draining != nil:
+		w.handleDraining(m, now)
 	case m.updates != nil:
 		w.handleNews(m.updates, now)
 	default:
@@ -183,7 +183,7 @@
 	d := watchDump{
 		Entries:   len(w.roster.Entries()),
 		Usable:    len(w.roster.Usable(now)),
-		Departed:  w.roster.Departures(),
+		Draining:  w.roster.DrainingCount(),
 		Versions:  make(map[string]uint64),
 		AgeMillis: make(map[string]int64),
 	}
--- a/daemon/entry/watch_apply.go
+++ b/daemon/entry/watch_apply.go
@@ -57,15 +57,15 @@
 	}
 }
 
-// handleDepartures takes over which upstreams have said that they are leaving.
-func (w *watch) handleDepartures(m watchMessage, now clock.Instant) {
-	for _, d := range m.departed {
-		if !w.roster.Depart(d, now) {
+// handleDraining takes over which upstreams have said that they are leaving.
+func (w *watch) handleDraining(m watchMessage, now clock.Instant) {
+	for _, d := range m.draining {
+		if !w.roster.MarkDraining(d, now) {
 			continue
 		}
 		w.upstreamsChanged = true
-		w.metrics.departed.WithLabelValues(string(m.source)).Inc()
-		w.log.Info().Str("upstream", d.ID).Int64("started_ms", d.StartedAtMillis).Str("source", string(m.source)).Msg("upstream_departed")
+		w.metrics.draining.WithLabelValues(string(m.source)).Inc()
+		w.log.Info().Str("upstream", d.ID).Int64("started_ms", d.StartedAtMillis).Str("source", string(m.source)).Msg("upstream_draining")
 	}
 }
 
--- a/daemon/entry/watch_dump.go
+++ b/daemon/entry/watch_dump.go
@@ -5,7 +5,7 @@
 	Config    uint64            `json:"config"`
 	Entries   int               `json:"upstream_entries"`
 	Usable    int               `json:"upstreams_usable"`
-	Departed  int               `json:"upstreams_departed"`
+	Draining  int               `json:"upstreams_draining"`
 	Versions  map[string]uint64 `json:"table_versions"`
 	AgeMillis map[string]int64  `json:"table_ages_ms"`
 }
--- a/daemon/entry/watch_message.go
+++ b/daemon/entry/watch_message.go
@@ -18,9 +18,9 @@
 	err     error
 	updates []exchange.TableUpdate
 	role    *watchRole
-	// departed are upstreams that have said in an answer that they are leaving, to this
+	// draining are upstreams that have said in an answer that they are leaving, to this
 	// gateway or to another one.
-	departed []roster.Departure
+	draining []roster.Incarnation
 	source   roster.Source
 	dump     *ring.Ring[report.Section]
 }
--- a/proof/entry/path_test.go
+++ b/proof/entry/path_test.go
@@ -207,7 +207,7 @@
 	})
 
 	It("sends nothing to an upstream that says in an answer that it is leaving, at any gateway", func() {
-		a := s.upstream("app", replica.Config{ID: "a", Leaving: true})
+		a := s.upstream("app", replica.Config{ID: "a", Draining: true})
 		g = s.start("g1")
 		other := s.start("g2")
 		Expect(g.ask("POST", "/once/x", "key", "b").status).To(Equal(http.StatusOK))
--- a/proof/soak/faults/driver.go
+++ b/proof/soak/faults/driver.go
@@ -34,12 +34,12 @@
 
 	world  *world.World
 	random *rand.Rand
-	// words draws what upstreams say of themselves. It is a sequence of its own, so that
-	// a seed goes on to stand for the same faults.
-	words *rand.Rand
-	log   zerolog.Logger
-	steps []step
-	now   time.Duration
+	// signals draws the drain and backoff signals of upstreams. It is a sequence of its
+	// own, so that a seed goes on to stand for the same faults.
+	signals *rand.Rand
+	log     zerolog.Logger
+	steps   []step
+	now     time.Duration
 	// down maps a stopped gateway to the time of its restart.
 	down map[*world.Gateway]time.Duration
 	// killAt maps a gateway that got SIGTERM to the time of its SIGKILL.
@@ -49,7 +49,7 @@
 // New makes a driver. What it does is logged.
 func New(w *world.World, seed uint64, log zerolog.Logger) *Driver {
 	return &Driver{
-		world: w, random: rand.New(rand.NewPCG(seed, 3)), words: rand.New(rand.NewPCG(seed, 4)), log: log,
+		world: w, random: rand.New(rand.NewPCG(seed, 3)), signals: rand.New(rand.NewPCG(seed, 4)), log: log,
 		down: make(map[*world.Gateway]time.Duration), killAt: make(map[*world.Gateway]time.Duration),
 	}
 }
@@ -231,7 +231,7 @@
 	what := ""
 	switch d.random.IntN(5) {
 	case 0:
-		wait := []string{"", "0.5", "1", "2", "soon", "-1"}[d.words.IntN(6)]
+		wait := []string{"", "0.5", "1", "2", "soon", "-1"}[d.signals.IntN(6)]
 		change, what = func(c *replica.Config) { c.RejectAll, c.RetryAfter = true, wait }, "full, "+wait
 	case 1:
 		change, what = func(c *replica.Config) { c.FailStatus = 500 }, "fails"
@@ -263,9 +263,9 @@
 		gone = leaveTime
 		d.add(0, u.ID+" leaves", func() error { return d.world.Register(u, operator.Draining) })
 	}
-	if gone > 0 && d.words.IntN(2) == 0 {
+	if gone > 0 && d.signals.IntN(2) == 0 {
 		d.add(0, u.ID+" says that it leaves", func() error {
-			return world.Posted(u.Replica, func() { u.Replica.UpdateConfig(func(c *replica.Config) { c.Leaving = true }) })
+			return world.Posted(u.Replica, func() { u.Replica.UpdateConfig(func(c *replica.Config) { c.Draining = true }) })
 		})
 	}
 	d.add(gone, u.ID+" is gone", func() error { return d.world.Remove(u) })
--- a/serving/cluster/record.go
+++ b/serving/cluster/record.go
@@ -45,9 +45,9 @@
 	// Evidence is what the gateway knows of prompt parts that may crash upstreams, with
 	// times of the store's clock.
 	Evidence []quarantine.Evidence `cbor:"15,keyasint,omitempty"`
-	// Departures are the upstreams that have lately told the gateway that they are
+	// Draining are the upstreams that have lately told the gateway that they are
 	// leaving.
-	Departures []roster.Departure `cbor:"16,keyasint,omitempty"`
+	Draining []roster.Incarnation `cbor:"16,keyasint,omitempty"`
 	// Age is the time from the write to the read, by the store's clock. The reader
 	// sets it; it is not stored.
 	Age time.Duration `cbor:"-"`
--- a/serving/quarantine/decide.go
+++ b/serving/quarantine/decide.go
@@ -17,19 +17,19 @@
 // decide quarantines the parts whose crashes are more than chance explains, the
 // most suspect first. What these explain does not count against the others.
 func (t *Tracker) decide(now clock.Instant) {
-	var verdicts, open []*suspect
+	var confirmed, open []*suspect
 	for _, s := range t.suspects {
 		s.crashes.expire(now)
-		if s.hasVerdict() {
-			verdicts = append(verdicts, s)
+		if s.isConfirmed() {
+			confirmed = append(confirmed, s)
 		} else {
 			open = append(open, s)
 		}
 	}
-	sort.Slice(verdicts, func(i, j int) bool { return moreSuspect(verdicts[i], verdicts[j]) })
-	sort.Slice(open, func(i, j int) bool { return moreSuspect(open[i], open[j]) })
+	sort.Slice(confirmed, func(i, j int) bool { return ranksBefore(confirmed[i], confirmed[j]) })
+	sort.Slice(open, func(i, j int) bool { return ranksBefore(open[i], open[j]) })
 	explained := make(map[uint64]bool)
-	for _, s := range verdicts {
+	for _, s := range confirmed {
 		t.review(s, explained, now)
 		if s.isBlocked() {
 			t.renew(s, now)
@@ -37,8 +37,8 @@
 		}
 	}
 	for _, s := range open {
-		s.forgive(explained)
-		if t.isGuilty(s, s.crashes.moments(never, explained)) {
+		s.dropExplained(explained)
+		if t.meetsThreshold(s, s.crashes.moments(never, explained)) {
 			t.quarantine(s, now)
 			explain(explained, s)
 		}
@@ -68,19 +68,19 @@
 	})
 }
 
-// isGuilty reports whether a number of crashes of a part suffices for a quarantine.
-func (t *Tracker) isGuilty(s *suspect, crashes int) bool {
+// meetsThreshold reports whether a number of crashes of a part suffices for a quarantine.
+func (t *Tracker) meetsThreshold(s *suspect, crashes int) bool {
 	if crashes < minCrashes {
 		return false
 	}
-	return s.isUnlikely(crashes) || s.isCommon(crashes, t.crashes.moments(s.crashes.first(), nil))
+	return s.isSignificant(crashes) || s.isCommonFactor(crashes, t.crashes.moments(s.crashes.first(), nil))
 }
 
-// moreSuspect orders parts for decide: those that were never answered first, then
+// ranksBefore orders parts for decide: those that were never answered first, then
 // by crashes. Among parts that were always together the deepest comes first, since
 // the fewest prompts have it: if it was another one, that one's next crash without
 // it shows.
-func moreSuspect(a, b *suspect) bool {
+func ranksBefore(a, b *suspect) bool {
 	if a.wasAnswered() != b.wasAnswered() {
 		return b.wasAnswered()
 	}
@@ -100,7 +100,7 @@
 	}
 }
 
-// renew quarantines a part anew that has crashed an upstream on trial.
+// renew quarantines a part anew that has crashed an upstream as a probe.
 func (t *Tracker) renew(s *suspect, now clock.Instant) {
 	if !s.wasProbed() {
 		return
--- a/serving/quarantine/evidence.go
+++ b/serving/quarantine/evidence.go
@@ -21,7 +21,7 @@
 	QuarantinedUntil time.Duration `cbor:"7,keyasint,omitempty"`
 	// Quarantines is the number of quarantines so far.
 	Quarantines int `cbor:"8,keyasint,omitempty"`
-	// ProbedAt is when a request with the part was last let through on trial.
+	// ProbedAt is when a request with the part was last let through as a probe.
 	ProbedAt time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
--- a/serving/quarantine/merge.go
+++ b/serving/quarantine/merge.go
@@ -24,7 +24,7 @@
 func (t *Tracker) mergeOne(e Evidence, now clock.Instant) {
 	s := t.suspects[e.Part]
 	if s == nil {
-		if !accuses(e, now) {
+		if !isRelevant(e, now) {
 			return
 		}
 		if s = t.suspect(e.Part, e.Service, now); s == nil {
@@ -33,7 +33,7 @@
 	}
 	s.isPublished = true
 	s.depth = max(s.depth, e.Depth)
-	if accuses(e, now) && s.succeededAt.After(instant(e.SucceededAt)) {
+	if isRelevant(e, now) && s.succeededAt.After(instant(e.SucceededAt)) {
 		// The others don't know of the last answer.
 		s.changedAt = now
 	}
@@ -64,8 +64,9 @@
 	}
 }
 
-// accuses reports whether evidence holds anything against its part.
-func accuses(e Evidence, now clock.Instant) bool {
+// isRelevant reports whether evidence has a crash that still counts, or a quarantine
+// that has not ended.
+func isRelevant(e Evidence, now clock.Instant) bool {
 	if instant(e.QuarantinedUntil).After(now) {
 		return true
 	}
@@ -83,15 +84,15 @@
 	t.forget(now)
 	list := make([]*suspect, 0, len(t.suspects))
 	for _, s := range t.suspects {
-		if s.hasVerdict() || now.Sub(s.changedAt) < publishTime {
+		if s.isConfirmed() || now.Sub(s.changedAt) < publishTime {
 			list = append(list, s)
 		}
 	}
 	sort.Slice(list, func(i, j int) bool {
-		if a, b := list[i].hasVerdict(), list[j].hasVerdict(); a != b {
+		if a, b := list[i].isConfirmed(), list[j].isConfirmed(); a != b {
 			return a
 		}
-		return moreSuspect(list[i], list[j])
+		return ranksBefore(list[i], list[j])
 	})
 	list = list[:min(len(list), maxPublished)]
 	out := make([]Evidence, 0, len(list))
@@ -106,9 +107,9 @@
 func (t *Tracker) forget(now clock.Instant) {
 	for part, s := range t.suspects {
 		s.crashes.expire(now)
-		isAccused := len(s.crashes) > 0 || s.hasVerdict() && now.Sub(s.quarantinedUntil) < crashLifetime
+		isSuspected := len(s.crashes) > 0 || s.isConfirmed() && now.Sub(s.quarantinedUntil) < crashLifetime
 		isNews := s.isPublished && now.Sub(s.changedAt) < publishTime
-		if !isAccused && !isNews {
+		if !isSuspected && !isNews {
 			delete(t.suspects, part)
 		}
 	}
--- a/serving/quarantine/quarantine_test.go
+++ b/serving/quarantine/quarantine_test.go
@@ -17,10 +17,10 @@
 }
 
 const (
-	service = "s"
-	common  = uint64(1)
-	session = uint64(2)
-	deadly  = uint64(3)
+	service  = "s"
+	common   = uint64(1)
+	session  = uint64(2)
+	crashing = uint64(3)
 )
 
 // prompt returns parts in the order of a prompt.
@@ -32,7 +32,7 @@
 	return list
 }
 
-// isSent reports whether a request that is not let through on trial may be sent.
+// isSent reports whether a request that is not let through as a probe may be sent.
 func isSent(t *quarantine.Tracker, now clock.Instant, ids ...uint64) bool {
 	_, ok := t.Check(prompt(ids...), false, now)
 	return ok
@@ -41,7 +41,7 @@
 var _ = Describe("Tracker", func() {
 	var t *quarantine.Tracker
 	now := clock.Instant(time.Hour)
-	// others lets prompts without the deadly part succeed.
+	// others lets prompts without the crashing part succeed.
 	others := func(n int) {
 		for range n {
 			t.Succeeded(service, prompt(common, 99), now)
@@ -58,21 +58,21 @@
 	})
 
 	It("quarantines a part after crashes of three upstreams, and nothing that was with it", func() {
-		crash(1, common, session, deadly)
-		crash(2, common, session, deadly)
-		Expect(isSent(t, now, common, session, deadly)).To(BeTrue())
-		crash(3, common, session, deadly)
-		Expect(isSent(t, now, common, session, deadly)).To(BeFalse())
+		crash(1, common, session, crashing)
+		crash(2, common, session, crashing)
+		Expect(isSent(t, now, common, session, crashing)).To(BeTrue())
+		crash(3, common, session, crashing)
+		Expect(isSent(t, now, common, session, crashing)).To(BeFalse())
 		Expect(isSent(t, now, common, session)).To(BeTrue())
-		Expect(t.Quarantined(now)).To(HaveKey(deadly))
+		Expect(t.Quarantined(now)).To(HaveKey(crashing))
 		Expect(t.Quarantined(now)).To(HaveLen(1))
 	})
 
 	It("counts an upstream once, however many requests broke off there", func() {
 		for range 10 {
-			crash(1, common, session, deadly)
+			crash(1, common, session, crashing)
 		}
-		Expect(isSent(t, now, common, session, deadly)).To(BeTrue())
+		Expect(isSent(t, now, common, session, crashing)).To(BeTrue())
 	})
 
 	It("finds the part that the crashes have in common if it is not the deepest one", func() {
@@ -87,53 +87,53 @@
 	})
 
 	It("clears a part that is answered", func() {
-		crash(1, common, deadly)
-		crash(2, common, deadly)
-		t.Succeeded(service, prompt(common, deadly), now)
-		crash(3, common, deadly)
-		crash(4, common, deadly)
-		Expect(isSent(t, now, common, deadly)).To(BeTrue())
+		crash(1, common, crashing)
+		crash(2, common, crashing)
+		t.Succeeded(service, prompt(common, crashing), now)
+		crash(3, common, crashing)
+		crash(4, common, crashing)
+		Expect(isSent(t, now, common, crashing)).To(BeTrue())
 	})
 
-	It("holds nothing against a part while no other prompts succeed", func() {
+	It("suspects no part while no other prompts succeed", func() {
 		for upstream := range uint64(10) {
-			t.Crashed(service, upstream, prompt(common, deadly), now)
+			t.Crashed(service, upstream, prompt(common, crashing), now)
 			t.Crashed(service, upstream, prompt(common, 50+upstream), now)
 		}
 		Expect(t.Quarantined(now)).To(BeEmpty())
 	})
 
-	It("lets single requests through on trial when the time is over, and waits longer after another crash", func() {
+	It("lets single requests through as a probe when the time is over, and waits longer after another crash", func() {
 		for upstream := range uint64(3) {
-			crash(upstream, common, deadly)
+			crash(upstream, common, crashing)
 		}
-		left := t.Quarantined(now)[deadly]
+		left := t.Quarantined(now)[crashing]
 		now = now.Add(left)
-		Expect(isSent(t, now, common, deadly)).To(BeFalse())
-		_, ok := t.Check(prompt(common, deadly), true, now)
+		Expect(isSent(t, now, common, crashing)).To(BeFalse())
+		_, ok := t.Check(prompt(common, crashing), true, now)
 		Expect(ok).To(BeTrue())
 		now = now.Add(time.Second)
-		_, ok = t.Check(prompt(common, deadly), true, now)
+		_, ok = t.Check(prompt(common, crashing), true, now)
 		Expect(ok).To(BeFalse())
-		crash(77, common, deadly)
-		Expect(t.Quarantined(now)[deadly]).To(BeNumerically(">", left))
+		crash(77, common, crashing)
+		Expect(t.Quarantined(now)[crashing]).To(BeNumerically(">", left))
 	})
 
-	It("releases a part that is answered on trial", func() {
+	It("releases a part that is answered as a probe", func() {
 		for upstream := range uint64(3) {
-			crash(upstream, common, deadly)
+			crash(upstream, common, crashing)
 		}
-		now = now.Add(t.Quarantined(now)[deadly])
-		_, ok := t.Check(prompt(common, deadly), true, now)
+		now = now.Add(t.Quarantined(now)[crashing])
+		_, ok := t.Check(prompt(common, crashing), true, now)
 		Expect(ok).To(BeTrue())
 		now = now.Add(time.Second)
-		t.Succeeded(service, prompt(common, deadly), now)
-		Expect(isSent(t, now, common, deadly)).To(BeTrue())
+		t.Succeeded(service, prompt(common, crashing), now)
+		Expect(isSent(t, now, common, crashing)).To(BeTrue())
 	})
 
 	It("takes evidence over from before its own start", func() {
 		for upstream := range uint64(3) {
-			crash(upstream, common, deadly)
+			crash(upstream, common, crashing)
 		}
 		restarted := quarantine.NewTracker()
 		const sinceStart = clock.Instant(time.Millisecond)
@@ -142,20 +142,20 @@
 			list = append(list, e.Shift(sinceStart.Sub(now)))
 		}
 		restarted.Merge(list, sinceStart)
-		Expect(isSent(restarted, sinceStart, common, deadly)).To(BeFalse())
+		Expect(isSent(restarted, sinceStart, common, crashing)).To(BeFalse())
 		Expect(isSent(restarted, sinceStart, common, session)).To(BeTrue())
 	})
 
 	It("learns from others that a part was answered", func() {
 		other := quarantine.NewTracker()
-		other.Succeeded(service, prompt(common, deadly), now.Add(10*time.Second))
+		other.Succeeded(service, prompt(common, crashing), now.Add(10*time.Second))
 		for upstream := range uint64(3) {
-			crash(upstream, common, deadly)
+			crash(upstream, common, crashing)
 		}
 		now = now.Add(10 * time.Second)
 		other.Merge(t.Evidence(now), now)
-		Expect(isSent(other, now, common, deadly)).To(BeTrue())
+		Expect(isSent(other, now, common, crashing)).To(BeTrue())
 		t.Merge(other.Evidence(now), now)
-		Expect(isSent(t, now, common, deadly)).To(BeTrue())
+		Expect(isSent(t, now, common, crashing)).To(BeTrue())
 	})
 })
--- a/serving/quarantine/suspect.go
+++ b/serving/quarantine/suspect.go
@@ -57,20 +57,20 @@
 	return s.isBlocked() && now.Before(s.quarantinedUntil)
 }
 
-// isBlocked reports whether requests with the part are sent only on trial.
+// isBlocked reports whether requests with the part are sent only as a probe.
 func (s *suspect) isBlocked() bool {
-	return s.hasVerdict() && !s.isExplained
+	return s.isConfirmed() && !s.isExplained
 }
 
-// hasVerdict reports whether the part was quarantined and not answered since.
-func (s *suspect) hasVerdict() bool {
+// isConfirmed reports whether the part was quarantined and not answered since.
+func (s *suspect) isConfirmed() bool {
 	return s.quarantinedAt != never && !s.succeededAt.After(s.quarantinedAt)
 }
 
-// wasProbed reports whether a request was let through on trial since the latest
+// wasProbed reports whether a request was let through as a probe since the latest
 // quarantine ended.
 func (s *suspect) wasProbed() bool {
-	return s.hasVerdict() && !s.probedAt.Before(s.quarantinedUntil)
+	return s.isConfirmed() && !s.probedAt.Before(s.quarantinedUntil)
 }
 
 // addCrash adds a crash unless the part was answered after it.
@@ -93,8 +93,8 @@
 	s.crashes.forget(at)
 }
 
-// forgive forgets the crashes in a set.
-func (s *suspect) forgive(explained map[uint64]bool) {
+// dropExplained forgets the crashes in a set.
+func (s *suspect) dropExplained(explained map[uint64]bool) {
 	for upstream := range s.crashes {
 		if explained[upstream] {
 			delete(s.crashes, upstream)
@@ -107,18 +107,18 @@
 	return s.succeededAt != never
 }
 
-// isUnlikely reports whether chance does not explain a number of crashes. The rate at
+// isSignificant reports whether chance does not explain a number of crashes. The rate at
 // which harmless attempts crash is that of the prompts without the part, so that
 // nothing is held against a part while others don't succeed either.
-func (s *suspect) isUnlikely(crashes int) bool {
+func (s *suspect) isSignificant(crashes int) bool {
 	rate := float64(s.othersCrashed+1) / float64(s.othersSucceeded+s.othersCrashed+1)
 	return math.Pow(max(rate, minCrashRate), float64(crashes)) <= maxChance
 }
 
-// isCommon reports whether a part that was never answered was at most crashes since
+// isCommonFactor reports whether a part that was never answered was at most crashes since
 // its first one, while other prompts succeeded. That holds also where the part ends
 // engines so fast that most other prompts crash with it.
-func (s *suspect) isCommon(crashes, crashesOfAll int) bool {
+func (s *suspect) isCommonFactor(crashes, crashesOfAll int) bool {
 	return !s.wasAnswered() && 2*crashes >= crashesOfAll && s.othersSucceeded >= crashes
 }
 
--- a/serving/quarantine/tracker.go
+++ b/serving/quarantine/tracker.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// probeTimeout is the time after which a request on trial that was neither
+	// probeTimeout is the time after which a request as a probe that was neither
 	// answered nor at a crash is followed by another.
 	probeTimeout = 30 * time.Second
 	// publishTime is how long news of a part are published. A quarantine is published
@@ -63,7 +63,7 @@
 	t.decide(now)
 }
 
-// hasBlocked reports whether a prompt has a part that is sent only on trial.
+// hasBlocked reports whether a prompt has a part that is sent only as a probe.
 func (t *Tracker) hasBlocked(parts []Part) bool {
 	for _, part := range parts {
 		if t.isBlocked(part.ID) {
@@ -73,7 +73,7 @@
 	return false
 }
 
-// isBlocked reports whether requests with a part are sent only on trial.
+// isBlocked reports whether requests with a part are sent only as a probe.
 func (t *Tracker) isBlocked(part uint64) bool {
 	s := t.suspects[part]
 	return s != nil && s.isBlocked()
@@ -96,19 +96,19 @@
 
 // succeed records that a suspected part was answered, and releases it.
 func (t *Tracker) succeed(s *suspect, at, now clock.Instant, own bool) {
-	had, crashes := s.hasVerdict(), len(s.crashes)
+	had, crashes := s.isConfirmed(), len(s.crashes)
 	s.succeed(at)
-	if len(s.crashes) < crashes || had != s.hasVerdict() {
+	if len(s.crashes) < crashes || had != s.isConfirmed() {
 		s.changedAt = now
 	}
-	if had && !s.hasVerdict() {
+	if had && !s.isConfirmed() {
 		t.logChange(Released, s, own)
 	}
 }
 
 // Check reports whether a request with the given parts may be sent. If not, it
 // returns the time until the quarantine ends. isTrial selects the requests that may
-// be let through on trial when a quarantine has ended: one of as many as there are
+// be let through as a probe when a quarantine has ended: one of as many as there are
 // gateways, so that few gateways do so at once.
 func (t *Tracker) Check(parts []Part, isTrial bool, now clock.Instant) (time.Duration, bool) {
 	if len(t.suspects) == 0 {
@@ -119,7 +119,7 @@
 		if s == nil {
 			continue
 		}
-		if len(s.crashes) >= minCrashes && !s.hasVerdict() {
+		if len(s.crashes) >= minCrashes && !s.isConfirmed() {
 			t.decide(now)
 		}
 		if !s.isBlocked() {
@@ -179,7 +179,7 @@
 func (t *Tracker) dropOne(now clock.Instant) bool {
 	var least *suspect
 	for _, s := range t.suspects {
-		if !s.isQuarantined(now) && (least == nil || moreSuspect(least, s)) {
+		if !s.isQuarantined(now) && (least == nil || ranksBefore(least, s)) {
 			least = s
 		}
 	}
--- a/serving/relay/core_place.go
+++ b/serving/relay/core_place.go
@@ -99,7 +99,7 @@
 // isEligible reports whether a request may be sent to an upstream: it is healthy,
 // has capacity and was not tried before.
 func (c *Core) isEligible(s *requestState, m *member, now clock.Instant) bool {
-	if m.misdirected || m.leaving || now.Before(m.pausedUntil) || m.open >= c.capacity(s.pool, m) {
+	if m.misdirected || m.draining || now.Before(m.pausedUntil) || m.open >= c.capacity(s.pool, m) {
 		return false
 	}
 	for _, t := range s.tried {
--- a/serving/relay/core_upstream.go
+++ b/serving/relay/core_upstream.go
@@ -26,9 +26,9 @@
 		// The response is that of another upstream.
 		return
 	}
-	if h.Leaving && !m.leaving {
-		m.leaving = true
-		c.emit(UpstreamDeparted{Departure: roster.DepartureOf(m.upstream)})
+	if h.Draining && !m.draining {
+		m.draining = true
+		c.emit(UpstreamDraining{Incarnation: roster.IncarnationOf(m.upstream)})
 	}
 	if h.Status != statusUnavailable {
 		return
@@ -58,7 +58,7 @@
 func (p *pool) retryAfter(id string, now clock.Instant) time.Duration {
 	var shortest time.Duration
 	for _, m := range p.list {
-		if m.leaving || m.misdirected {
+		if m.draining || m.misdirected {
 			continue
 		}
 		left := m.pausedUntil.Sub(now)
--- a/serving/relay/crashing_prompt_test.go
+++ b/serving/relay/crashing_prompt_test.go
@@ -34,12 +34,12 @@
 // of a few hundred second parts.
 const (
 	commonPart   = 1
-	deadlyPart   = 2
+	crashingPart = 2
 	sessionParts = 1000
 )
 
 // crashingEngines simulates gateways in front of engines that crash when they begin
-// to answer a prompt with deadlyPart.
+// to answer a prompt with crashingPart.
 type crashingEngines struct {
 	random    *rand.Rand
 	now       clock.Instant
@@ -48,26 +48,26 @@
 	published [][]quarantine.Evidence // by gateway, at the last exchange
 	// names of the engines that run, by slot; a restarted engine has a new one. An
 	// empty name is an engine that is away.
-	engines   []string
-	backAt    []clock.Instant
-	starts    int
-	handle    relay.Handle
-	running   []engineRun
-	crashes   []clock.Instant
-	route     string
-	deadly    map[relay.Handle]bool // requests with deadlyPart that arrived
-	deadlyAt  []clock.Instant       // when requests with deadlyPart were sent
-	soundSent map[relay.Handle]bool
-	sound     []relay.Handle // the sound requests that arrived
+	engines        []string
+	backAt         []clock.Instant
+	starts         int
+	handle         relay.Handle
+	running        []engineRun
+	crashes        []clock.Instant
+	route          string
+	crashing       map[relay.Handle]bool // requests with crashingPart that arrived
+	crashingSentAt []clock.Instant       // when requests with crashingPart were sent
+	soundSent      map[relay.Handle]bool
+	sound          []relay.Handle // the sound requests that arrived
 }
 
 // engineRun is a request that an engine is about to answer.
 type engineRun struct {
-	gateway int
-	engine  string
-	ref     relay.AttemptRef
-	deadly  bool
-	startAt clock.Instant
+	gateway    int
+	engine     string
+	ref        relay.AttemptRef
+	isCrashing bool
+	startAt    clock.Instant
 }
 
 func newCrashingEngines(gateways, engines int) *crashingEngines {
@@ -75,7 +75,7 @@
 		random:  rand.New(rand.NewPCG(3, uint64(gateways))),
 		now:     clock.Instant(time.Hour),
 		engines: make([]string, engines), backAt: make([]clock.Instant, engines),
-		soundSent: make(map[relay.Handle]bool), deadly: make(map[relay.Handle]bool), route: "single",
+		soundSent: make(map[relay.Handle]bool), crashing: make(map[relay.Handle]bool), route: "single",
 	}
 	for range gateways {
 		s.gateways = append(s.gateways, s.newGateway())
@@ -133,14 +133,14 @@
 }
 
 // run lets requests arrive at a rate per second, and a share of them with
-// deadlyPart.
-func (s *crashingEngines) run(d time.Duration, rate, deadlyShare float64) {
+// crashingPart.
+func (s *crashingEngines) run(d time.Duration, rate, crashingShare float64) {
 	for end := s.now.Add(d); s.now < end; s.now = s.now.Add(crashStep) {
 		s.restartEngines()
 		s.shareEvidence()
 		for due := rate * crashStep.Seconds(); due > 0; due-- {
 			if s.random.Float64() < due {
-				s.arrive(s.random.Float64() < deadlyShare)
+				s.arrive(s.random.Float64() < crashingShare)
 			}
 		}
 		s.advanceEngines()
@@ -152,12 +152,12 @@
 }
 
 // arrive sends one request to a random gateway.
-func (s *crashingEngines) arrive(deadly bool) {
+func (s *crashingEngines) arrive(isCrashing bool) {
 	s.handle++
 	parts := []relay.PromptPart{{ID: commonPart, Tokens: 500}, {ID: uint64(sessionParts + s.random.IntN(300)), Tokens: 200}}
-	if deadly {
-		s.deadly[s.handle] = true
-		parts = append(parts, relay.PromptPart{ID: deadlyPart, Tokens: 50})
+	if isCrashing {
+		s.crashing[s.handle] = true
+		parts = append(parts, relay.PromptPart{ID: crashingPart, Tokens: 50})
 	} else {
 		s.sound = append(s.sound, s.handle)
 	}
@@ -177,14 +177,14 @@
 		if !ok {
 			continue
 		}
-		deadly := s.deadly[sent.Ref.Handle]
-		if deadly {
-			s.deadlyAt = append(s.deadlyAt, s.now)
+		isCrashing := s.crashing[sent.Ref.Handle]
+		if isCrashing {
+			s.crashingSentAt = append(s.crashingSentAt, s.now)
 		} else {
 			s.soundSent[sent.Ref.Handle] = true
 		}
 		s.running = append(s.running, engineRun{
-			gateway: gateway, engine: sent.Upstream.ID, ref: sent.Ref, deadly: deadly, startAt: s.now.Add(engineStart),
+			gateway: gateway, engine: sent.Upstream.ID, ref: sent.Ref, isCrashing: isCrashing, startAt: s.now.Add(engineStart),
 		})
 	}
 }
@@ -194,7 +194,7 @@
 	for len(s.running) > 0 && s.now >= s.running[0].startAt {
 		r := s.running[0]
 		s.running = s.running[1:]
-		if r.deadly {
+		if r.isCrashing {
 			s.crash(r, true)
 			continue
 		}
@@ -206,8 +206,8 @@
 }
 
 // crash ends the engine of a run, and with it all runs there.
-func (s *crashingEngines) crash(cause engineRun, deadly bool) {
-	if deadly {
+func (s *crashingEngines) crash(cause engineRun, isCrashing bool) {
+	if isCrashing {
 		s.crashes = append(s.crashes, s.now)
 	}
 	for i, name := range s.engines {
@@ -233,10 +233,10 @@
 	}
 }
 
-// deadlySendsAfter counts the sends of requests with deadlyPart after an instant.
-func (s *crashingEngines) deadlySendsAfter(at clock.Instant) int {
+// crashingSendsAfter counts the sends of requests with crashingPart after an instant.
+func (s *crashingEngines) crashingSendsAfter(at clock.Instant) int {
 	n := 0
-	for _, sent := range s.deadlyAt {
+	for _, sent := range s.crashingSentAt {
 		if sent.After(at) {
 			n++
 		}
@@ -302,16 +302,16 @@
 // Guards against one part of a prompt that ends one engine after the other.
 var _ = Describe("Prompts that crash engines", func() {
 	DescribeTable("are not sent on once their common part is known, while sound prompts are",
-		func(route string, gateways, engines int, rate, deadlyShare float64, length time.Duration) {
+		func(route string, gateways, engines int, rate, crashingShare float64, length time.Duration) {
 			s := newCrashingEngines(gateways, engines)
 			s.route = route
 			s.run(length/4, rate, 0)
-			s.run(length, rate, deadlyShare)
-			Expect(len(s.deadly)).To(BeNumerically(">=", 20))
+			s.run(length, rate, crashingShare)
+			Expect(len(s.crashing)).To(BeNumerically(">=", 20))
 			Expect(s.crashes).NotTo(BeEmpty())
-			Expect(s.deadlySendsAfter(s.noticedAt())).To(BeNumerically("<=", 3))
+			Expect(s.crashingSendsAfter(s.noticedAt())).To(BeNumerically("<=", 3))
 			Expect(len(s.soundSent)).To(BeNumerically(">=", 95*len(s.sound)/100))
-			Expect(s.quarantined()).To(Equal([]uint64{deadlyPart}))
+			Expect(s.quarantined()).To(Equal([]uint64{crashingPart}))
 		},
 		Entry("one gateway", "single", 1, 12, 50.0, 0.05, 20*time.Second),
 		Entry("4 gateways", "single", 4, 12, 70.0, 0.05, 20*time.Second),
@@ -339,9 +339,9 @@
 		for i := range s.gateways {
 			s.restartGateway(i)
 		}
-		before := len(s.deadlyAt)
+		before := len(s.crashingSentAt)
 		s.run(10*time.Second, 70, 0.05)
-		Expect(s.deadlyAt).To(HaveLen(before))
+		Expect(s.crashingSentAt).To(HaveLen(before))
 	})
 
 	DescribeTable("are not seen where engines end for another reason",
--- a/serving/relay/member.go
+++ b/serving/relay/member.go
@@ -38,8 +38,8 @@
 	lastSweep clock.Instant // of prefixes
 	// pausedUntil is when the upstream may get requests again after it has rejected one.
 	pausedUntil clock.Instant
-	// leaving is set once the upstream has said that it is leaving.
-	leaving bool
+	// draining is set once the upstream has said that it is leaving.
+	draining bool
 	// badRetryAfter is set once a pause that it asked for could not be read.
 	badRetryAfter bool
 	// misdirected is set when another upstream answered at the address.
--- a/serving/relay/response_head.go
+++ b/serving/relay/response_head.go
@@ -13,8 +13,8 @@
 	NotRun bool
 	// NoEvents is true if the body is not a stream of events.
 	NoEvents bool
-	// Leaving is true if the upstream says that it is leaving.
-	Leaving bool
+	// Draining is true if the upstream says that it is leaving.
+	Draining bool
 	// RetryAfter is how long the upstream wants no further requests from this gateway;
 	// 0 if it did not say.
 	RetryAfter time.Duration
--- a/serving/relay/upstream_word_test.go
+++ b/serving/relay/upstream_signals_test.go
@@ -44,15 +44,15 @@
 
 // Guards against requests to an upstream that has said in an answer that it is leaving,
 // or to one that has asked for a pause.
-var _ = Describe("What upstreams say of themselves", func() {
+var _ = Describe("Drain and backoff signals of upstreams", func() {
 	var h *harness
 	leaving := map[string]bool{}
 	pausing := map[string]time.Duration{}
 	head := func(id string) relay.ResponseHead {
 		if wait, ok := pausing[id]; ok {
-			return relay.ResponseHead{Status: 503, NotRun: true, RetryAfter: wait, Leaving: leaving[id]}
+			return relay.ResponseHead{Status: 503, NotRun: true, RetryAfter: wait, Draining: leaving[id]}
 		}
-		return relay.ResponseHead{Status: 200, Sealed: true, Leaving: leaving[id]}
+		return relay.ResponseHead{Status: 200, Sealed: true, Draining: leaving[id]}
 	}
 	BeforeEach(func() {
 		h = newHarness()
@@ -81,17 +81,17 @@
 
 	It("hears it in every answer", func() {
 		for _, first := range []relay.ResponseHead{
-			{Status: 200, Sealed: true, Leaving: true},
-			{Status: 500, Sealed: true, Leaving: true},
-			{Status: 503, NotRun: true, Leaving: true},
-			{Status: 404, Sealed: true, Leaving: true},
+			{Status: 200, Sealed: true, Draining: true},
+			{Status: 500, Sealed: true, Draining: true},
+			{Status: 503, NotRun: true, Draining: true},
+			{Status: 404, Sealed: true, Draining: true},
 		} {
 			h = newHarness()
 			h.upstreams("a")
 			h.arriveAs("once", "x")
 			s := actionsOf[relay.Send](h)[0]
 			h.core.HeadReceived(s.Ref, first, h.now)
-			Expect(actionsOf[relay.UpstreamDeparted](h)).To(Equal([]relay.UpstreamDeparted{{Departure: roster.Departure{ID: "a"}}}))
+			Expect(actionsOf[relay.UpstreamDraining](h)).To(Equal([]relay.UpstreamDraining{{Incarnation: roster.Incarnation{ID: "a"}}}))
 			h.core.ResponseEnded(s.Ref, h.now)
 			h.core.Actions()
 			h.arriveAs("once", "y")
@@ -103,8 +103,8 @@
 		h.upstreams("a")
 		h.arriveAs("once", "x")
 		s := actionsOf[relay.Send](h)[0]
-		h.core.HeadReceived(s.Ref, relay.ResponseHead{Status: 421, Misdirected: true, Leaving: true}, h.now)
-		Expect(actionsOf[relay.UpstreamDeparted](h)).To(BeEmpty())
+		h.core.HeadReceived(s.Ref, relay.ResponseHead{Status: 421, Misdirected: true, Draining: true}, h.now)
+		Expect(actionsOf[relay.UpstreamDraining](h)).To(BeEmpty())
 		h.core.SetUpstreams([]*catalog.Upstream{{ID: "a", Service: "s", Slots: 4, StartedAtMillis: 5}}, h.now)
 		h.arriveAs("once", "y")
 		Expect(actionsOf[relay.Send](h)).To(HaveLen(1))
--- a/serving/roster/roster.go
+++ b/serving/roster/roster.go
@@ -7,8 +7,9 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
 )
 
-// departureLifetime is how long a departure is kept at least.
-const departureLifetime = 5 * time.Minute
+// drainingLifetime is how long it is kept at least that an upstream has said that it
+// is leaving.
+const drainingLifetime = 5 * time.Minute
 
 // Roster is the list of upstreams that one process knows. One thread owns it.
 type Roster struct {
@@ -16,8 +17,8 @@
 	entries map[string]*catalog.Upstream
 	// lapsed are the upstreams that lost their entries in the grace period.
 	lapsed map[string]lapsedEntry
-	// departed holds the upstreams that have said in an answer that they are leaving.
-	departed map[Departure]clock.Instant
+	// draining holds the upstreams that have said in an answer that they are leaving.
+	draining map[Incarnation]clock.Instant
 	// isStoreUnavailable is set while the store does not answer.
 	isStoreUnavailable bool
 	// storeRecoveredAt is when the store last became available again; 0 if it
@@ -34,7 +35,7 @@
 		entries: make(map[string]*catalog.Upstream),
 		lapsed:  make(map[string]lapsedEntry),
 
-		departed: make(map[Departure]clock.Instant),
+		draining: make(map[Incarnation]clock.Instant),
 	}
 }
 
@@ -69,34 +70,34 @@
 // said that it is leaving does not bring it back.
 func (r *Roster) Set(u *catalog.Upstream) {
 	delete(r.lapsed, u.ID)
-	r.entries[u.ID] = r.withDeparture(u)
+	r.entries[u.ID] = r.withDraining(u)
 }
 
-// Depart records that an upstream has said in an answer, to this gateway or another
+// MarkDraining records that an upstream has said in an answer, to this gateway or another
 // one, that it is leaving. It returns false if that was known.
-func (r *Roster) Depart(d Departure, now clock.Instant) bool {
-	if _, ok := r.departed[d]; ok {
+func (r *Roster) MarkDraining(d Incarnation, now clock.Instant) bool {
+	if _, ok := r.draining[d]; ok {
 		return false
 	}
-	r.dropDepartures(now)
-	r.departed[d] = now
+	r.dropDraining(now)
+	r.draining[d] = now
 	if u := r.entries[d.ID]; u != nil {
-		r.entries[d.ID] = r.withDeparture(u)
+		r.entries[d.ID] = r.withDraining(u)
 	}
-	if l, ok := r.lapsed[d.ID]; ok && DepartureOf(l.upstream) == d {
+	if l, ok := r.lapsed[d.ID]; ok && IncarnationOf(l.upstream) == d {
 		delete(r.lapsed, d.ID)
 	}
 	return true
 }
 
-// Departures returns the number of upstreams that are known to leave by their answers.
-func (r *Roster) Departures() int {
-	return len(r.departed)
+// DrainingCount returns the number of upstreams that are known to leave by their answers.
+func (r *Roster) DrainingCount() int {
+	return len(r.draining)
 }
 
-// withDeparture returns an upstream as draining if it has said that it is leaving.
-func (r *Roster) withDeparture(u *catalog.Upstream) *catalog.Upstream {
-	if _, ok := r.departed[DepartureOf(u)]; !ok || u.Draining {
+// withDraining returns an upstream as draining if it has said that it is leaving.
+func (r *Roster) withDraining(u *catalog.Upstream) *catalog.Upstream {
+	if _, ok := r.draining[IncarnationOf(u)]; !ok || u.Draining {
 		return u
 	}
 	leaving := *u
@@ -104,13 +105,13 @@
 	return &leaving
 }
 
-// dropDepartures forgets those of upstreams that have had no entry for long enough
+// dropDraining forgets those of upstreams that have had no entry for long enough
 // that no old one is read any more.
-func (r *Roster) dropDepartures(now clock.Instant) {
-	for d, at := range r.departed {
+func (r *Roster) dropDraining(now clock.Instant) {
+	for d, at := range r.draining {
 		u := r.entries[d.ID]
-		if now.Sub(at) >= departureLifetime && (u == nil || DepartureOf(u) != d) {
-			delete(r.departed, d)
+		if now.Sub(at) >= drainingLifetime && (u == nil || IncarnationOf(u) != d) {
+			delete(r.draining, d)
 		}
 	}
 }
--- a/serving/roster/roster_test.go
+++ b/serving/roster/roster_test.go
@@ -67,9 +67,9 @@
 		r := roster.New(grace)
 		r.Set(&catalog.Upstream{ID: "a", StartedAtMillis: 7})
 		r.Set(&catalog.Upstream{ID: "b", StartedAtMillis: 7})
-		d := roster.Departure{ID: "a", StartedAtMillis: 7}
-		Expect(r.Depart(d, at(0))).To(BeTrue())
-		Expect(r.Depart(d, at(0))).To(BeFalse())
+		d := roster.Incarnation{ID: "a", StartedAtMillis: 7}
+		Expect(r.MarkDraining(d, at(0))).To(BeTrue())
+		Expect(r.MarkDraining(d, at(0))).To(BeFalse())
 		Expect(ids(r.Usable(at(0)))).To(ConsistOf("b"))
 		r.Set(&catalog.Upstream{ID: "a", StartedAtMillis: 7})
 		Expect(ids(r.Usable(at(time.Second)))).To(ConsistOf("b"))
@@ -84,23 +84,23 @@
 	It("uses an upstream that has started anew, or another one at its address", func() {
 		r := roster.New(grace)
 		r.Set(&catalog.Upstream{ID: "a", Address: "10.0.0.1:80", StartedAtMillis: 7})
-		r.Depart(roster.Departure{ID: "a", StartedAtMillis: 7}, at(0))
+		r.MarkDraining(roster.Incarnation{ID: "a", StartedAtMillis: 7}, at(0))
 		r.Set(&catalog.Upstream{ID: "a", Address: "10.0.0.1:80", StartedAtMillis: 8})
 		Expect(ids(r.Usable(at(0)))).To(ConsistOf("a"))
 		r.Set(&catalog.Upstream{ID: "c", Address: "10.0.0.1:80"})
 		Expect(ids(r.Usable(at(0)))).To(ConsistOf("a", "c"))
 	})
 
-	It("keeps a departure that comes before the entry, and one that lapsed stays out", func() {
+	It("remembers a drain that it learns before the entry, and one that lapsed stays out", func() {
 		r := roster.New(grace)
-		r.Depart(roster.Departure{ID: "a"}, at(0))
+		r.MarkDraining(roster.Incarnation{ID: "a"}, at(0))
 		r.Set(&catalog.Upstream{ID: "a"})
 		r.Set(&catalog.Upstream{ID: "b"})
 		r.StoreUnavailable()
 		r.StoreAvailable(at(0))
 		r.Remove("b", at(0))
 		Expect(ids(r.Usable(at(0)))).To(ConsistOf("b"))
-		r.Depart(roster.Departure{ID: "b"}, at(0))
+		r.MarkDraining(roster.Incarnation{ID: "b"}, at(0))
 		Expect(r.Usable(at(0))).To(BeEmpty())
 	})
 })
--- a/standin/replica/config.go
+++ b/standin/replica/config.go
@@ -22,8 +22,8 @@
 	RejectAll bool
 	// RetryAfter is the text of the field Retry-After of rejections; empty means none.
 	RetryAfter string
-	// Leaving marks all responses as those of a replica that is leaving.
-	Leaving bool
+	// Draining marks all responses as those of a replica that is leaving.
+	Draining bool
 	// FailStatus is the status of all responses; 0 means 200.
 	FailStatus int
 	// DropResponses closes the connection instead of sending the response. The
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -48,7 +48,7 @@
 // stream after that event.
 func (r *Replica) serve(c *host.Call) {
 	header := http.Header{"Attempt-Id": {c.Header.Get("Attempt-Id")}}
-	if r.config.Leaving {
+	if r.config.Draining {
 		header.Set("Server-Leaving", "1")
 	}
 	if expected := c.Header.Get("Expect-Instance"); expected != "" && expected != r.config.ID {
