entry: the first record of a process carries the use of its former run (QUOTA)

What callers saw: none of it; after all gateways were killed together, a customer at its limit was admitted wholly for a second, beyond its limit over all gateways. Cause: the first record of a new process is written at once after its first read, before dispatch has told what it uses, so that it replaced the former process's use by none; the others took that for true. Change: inheritCounts puts the former use and demand into the record if they are in the window. Failed before: daemon/entry inherit_test, by the lines taken out (the record has no use).

--- a/daemon/entry/coordinator_records.go
+++ b/daemon/entry/coordinator_records.go
@@ -203,6 +203,9 @@
 		c.tally.Add(window, counts)
 	}
 	if former.Age < c.limitWindow {
+		// The first record of this process goes out before dispatch has told what it
+		// uses: without the former use the others would take it for none.
+		c.record.Used, c.record.Demand, c.record.RecentDemand = former.Used, former.Demand, former.RecentDemand
 		offerOrLog(c.dispatch, dispatchMessage(inheritUse{used: former.Used}), c.log)
 	}
 	c.log.Info().Uint64("incarnation", former.Incarnation).Int("windows", len(former.Windows)).Msg("counts_inherited")
