--- a/review/rig/proxy.go
+++ b/review/rig/proxy.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -8,16 +9,20 @@
 
 // proxy passes connections on to a server. All those that are open can be made
 // silent for good: neither side hears of the other again, and none is reset. New
-// connections work.
+// connections work, unless the proxy is cut.
 type proxy struct {
 	listener net.Listener
 	target   string
+	// calls counts the HTTP requests to the server.
+	calls atomic.Int64
 
 	mu    sync.Mutex
+	isCut bool
 	pairs []*pair
 }
 
 type pair struct {
+	proxy     *proxy
 	near, far net.Conn
 	silent    atomic.Bool
 }
@@ -45,17 +50,18 @@
 			_ = near.Close()
 			continue
 		}
-		c := &pair{near: near, far: far}
+		c := &pair{proxy: p, near: near, far: far}
 		p.mu.Lock()
+		c.silent.Store(p.isCut)
 		p.pairs = append(p.pairs, c)
 		p.mu.Unlock()
-		go c.copy(near, far)
-		go c.copy(far, near)
+		go c.copy(near, far, true)
+		go c.copy(far, near, false)
 	}
 }
 
 // copy passes bytes on until the connection ends or is silent.
-func (c *pair) copy(from, to net.Conn) {
+func (c *pair) copy(from, to net.Conn, isCalls bool) {
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -71,6 +77,9 @@
 			_ = from.Close()
 			return
 		}
+		if isCalls {
+			c.proxy.calls.Add(int64(bytes.Count(buffer[:n], []byte(" HTTP/1.1\r\n"))))
+		}
 		if _, err := to.Write(buffer[:n]); err != nil {
 			_ = from.Close()
 			return
@@ -85,7 +94,27 @@
 	for _, c := range p.pairs {
 		c.silent.Store(true)
 	}
-	n := len(p.pairs)
+	return len(p.pairs)
+}
+
+// cut makes the open connections and all new ones silent.
+func (p *proxy) cut() {
+	p.mu.Lock()
+	p.isCut = true
+	p.mu.Unlock()
+	p.silence()
+}
+
+// heal ends the silent connections; new ones work again.
+func (p *proxy) heal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isCut = false
+	for _, c := range p.pairs {
+		if c.silent.Load() {
+			_ = c.near.Close()
+			_ = c.far.Close()
+		}
+	}
 	p.pairs = nil
-	return n
 }
