--- a/daemon/entry/admin.go
+++ b/daemon/entry/admin.go
@@ -10,20 +10,30 @@
 )
 
 // admin takes requests at the internal address: polls of other gateways go to the
-// peers duty, everything else to the report duty. It implements httpd.Handler.
+// peers duty, their questions about limits to dispatch, everything else to the report
+// duty. It implements httpd.Handler.
 type admin struct {
-	report httpd.Handler
-	peers  *ring.Ring[peerMessage]
-	log    zerolog.Logger
+	report   httpd.Handler
+	peers    *ring.Ring[peerMessage]
+	dispatch *ring.Ring[dispatchMessage]
+	log      zerolog.Logger
 }
 
 // Serve implements httpd.Handler.
 func (a *admin) Serve(x *httpd.Exchange) {
-	if x.Path != pollPath {
+	var err error
+	switch x.Path {
+	case pollPath:
+		err = a.peers.Offer(pollReceived{exchange: x})
+	case limitPath:
+		err = a.dispatch.Offer(limitAsked{exchange: x})
+	case usePath:
+		err = a.dispatch.Offer(useTold{exchange: x})
+	default:
 		a.report.Serve(x)
 		return
 	}
-	if a.peers.Offer(pollReceived{exchange: x}) == nil {
+	if err == nil {
 		return
 	}
 	if err := x.Reply(http.StatusServiceUnavailable, nil, nil); err != nil {
--- a/daemon/entry/coordinator.go
+++ b/daemon/entry/coordinator.go
@@ -13,6 +13,7 @@
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
 	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
+	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 	"github.com/sycamorecourse/sycamorecourse/serving/roster"
 	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
@@ -38,10 +39,13 @@
 	// urgentHeartbeatInterval is the least time between two writes if there is news that
 	// the other gateways should get at once.
 	urgentHeartbeatInterval = 300 * time.Millisecond
-	// minReserveHeartbeat and reserveHeartbeatPerGateway bound the rate of writes if more
-	// of customers' limits is used than the records say.
-	minReserveHeartbeat        = 100 * time.Millisecond
-	reserveHeartbeatPerGateway = 5 * time.Millisecond
+	// minRestartHeartbeat and restartHeartbeatPerGateway bound the rate of writes if more of
+	// customers' limits is used than the store would tell after a restart.
+	minRestartHeartbeat        = 200 * time.Millisecond
+	restartHeartbeatPerGateway = 5 * time.Millisecond
+	// restartReserveShare is the part of what a record reserves for a restart from which
+	// the next one is written.
+	restartReserveShare = 0.8
 	// peerHeartbeatInterval is the time between two writes while other gateways get
 	// this gateway's record by the exchange of news.
 	peerHeartbeatInterval = 2 * time.Second
@@ -64,6 +68,10 @@
 	// shareTimeout is how long a gateway keeps its part of the customers' limits
 	// after the last change of its record.
 	shareTimeout = 8 * time.Second
+	// formerUseTime is the time for which what a former process of this gateway has
+	// published bounds its use of limits: beyond that it has ended, or has been cut off
+	// for so long that the others expect no more of it.
+	formerUseTime = 20 * time.Second
 	// leaseCandidates is the number of gateways that compete for the lease.
 	leaseCandidates = 3
 	// deadRecordTimeout is how long the record of a dead gateway is kept.
@@ -93,20 +101,25 @@
 	clock     clock.Clock
 	log       zerolog.Logger
 
-	containment  containment
-	record       cluster.Record
-	records      *exchange.RecordLog
-	view         *cluster.View
-	hubs         []string      // names, as last sent to the peers duty
-	newsAt       clock.Instant // of the last news of a hub
-	listAt       clock.Instant // when the records are next read from the store
-	limitWindow  time.Duration // over which the use of limits is counted
-	tally        *usage.Tally
-	reporter     *usage.Reporter
-	reportsUsage bool
-	planner      *scale.Planner
-	readRates    map[string]float64 // of one engine of each service, in tokens per second
-	fleet        setFleet
+	containment containment
+	record      cluster.Record
+	records     *exchange.RecordLog
+	view        *cluster.View
+	hubs        []string      // names, as last sent to the peers duty
+	newsAt      clock.Instant // of the last news of a hub
+	listAt      clock.Instant // when the records are next read from the store
+	// spent are the totals of what dispatch has used of the limits that it holds, at
+	// spentAt. storedSpent, storedCountedAt and stored are those of the record that was
+	// last written to the store, and its reserves.
+	spent, storedSpent       map[string]float64
+	spentAt, storedCountedAt clock.Instant
+	stored                   map[string]limit.Reserve
+	tally                    *usage.Tally
+	reporter                 *usage.Reporter
+	reportsUsage             bool
+	planner                  *scale.Planner
+	readRates                map[string]float64 // of one engine of each service, in tokens per second
+	fleet                    setFleet
 	// drainingAt holds when upstreams have told this gateway that they are leaving, and
 	// drainingPassed those of other gateways that the watch duty has been told of.
 	drainingAt      map[roster.Incarnation]clock.Instant
@@ -190,8 +203,7 @@
 		for window, counts := range m.counts {
 			c.tally.Add(window, counts)
 		}
-		c.record.Demand = m.demand
-		c.record.RecentDemand, c.record.Used, c.record.Reserved = m.recentDemand, m.used, m.reserved
+		c.record.Used, c.record.Reserves, c.record.CountedAt = m.used, m.reserves, c.storeNow(m.countedAt)
 		c.record.Loads = m.loads
 		if c.hasRead {
 			c.record.Evidence = shiftEvidence(m.evidence, c.storeNow(now)-time.Duration(now))
@@ -200,8 +212,9 @@
 		if m.isUrgent {
 			c.hurryHeartbeat(urgentHeartbeatInterval, now)
 		}
-		if m.exceedsReserves {
-			c.hurryHeartbeat(c.reserveHeartbeatInterval(), now)
+		c.spent, c.spentAt = m.spent, m.countedAt
+		if c.exceedsRestartReserve() {
+			c.hurryHeartbeat(c.restartHeartbeatInterval(), now)
 		}
 		c.readRates = m.readRates
 	case recordsRead:
--- a/daemon/entry/coordinator_records.go
+++ b/daemon/entry/coordinator_records.go
@@ -10,7 +10,7 @@
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
 	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
-	"github.com/sycamorecourse/sycamorecourse/serving/relay"
+	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
 )
 
@@ -36,6 +36,7 @@
 		c.heartbeatActive = false
 		return
 	}
+	c.storedSpent, c.stored, c.storedCountedAt = c.spent, c.record.Reserves, c.spentAt
 	put := rows.Put{Table: gatewayTable, Key: row.Key{Sort: c.record.Instance}, Value: value}
 	c.store.Write([]rows.Put{put}, func(_ uint64, err error) {
 		offerResult(c.inbox, clusterMessage(recordWritten{err: err}), c.log)
@@ -48,10 +49,21 @@
 	c.heartbeatAt = min(c.heartbeatAt, max(now, c.lastHeartbeat.Add(interval)))
 }
 
-// reserveHeartbeatInterval returns the least time between two writes of this gateway's
-// record while customers use more of their limits than it says.
-func (c *coordinator) reserveHeartbeatInterval() time.Duration {
-	return max(minReserveHeartbeat, reserveHeartbeatPerGateway*time.Duration(len(c.view.ShareHolders())))
+// exceedsRestartReserve reports whether much of what the last written record reserves for
+// a restart has been used.
+func (c *coordinator) exceedsRestartReserve() bool {
+	for name, spent := range c.spent {
+		if spent-c.storedSpent[name] > restartReserveShare*c.stored[name].Restart {
+			return true
+		}
+	}
+	return false
+}
+
+// restartHeartbeatInterval returns the least time between two writes of this gateway's
+// record while more is used than it reserves for a restart.
+func (c *coordinator) restartHeartbeatInterval() time.Duration {
+	return max(minRestartHeartbeat, restartHeartbeatPerGateway*time.Duration(len(c.view.ShareHolders())))
 }
 
 // updateRecord brings this gateway's record up to date before it is published.
@@ -107,6 +119,7 @@
 		c.heartbeatActive = false
 		return
 	}
+	offerOrLog(c.dispatch, dispatchMessage(limitsStored{spent: c.storedSpent, reserves: c.stored, countedAt: c.storedCountedAt}), c.log)
 	if c.hasNews(now) && now.Before(c.listAt) {
 		c.heartbeatActive = false
 		c.markAvailable()
@@ -149,7 +162,7 @@
 	c.updateView(now)
 	if !c.hasRead {
 		c.hasRead = true
-		c.inheritCounts()
+		c.inheritCounts(now)
 		c.heartbeatAt = now
 	}
 	c.tally.Trim(c.wallTime(now))
@@ -202,7 +215,7 @@
 // inheritCounts takes over what a former process of this instance has published:
 // its usage counts, and its use of the customers' limits unless that was too long
 // ago to count.
-func (c *coordinator) inheritCounts() {
+func (c *coordinator) inheritCounts(now clock.Instant) {
 	former, ok := c.view.Record(c.record.Instance)
 	if !ok {
 		return
@@ -210,13 +223,13 @@
 	for window, counts := range former.Windows {
 		c.tally.Add(window, counts)
 	}
-	if former.Age < c.limitWindow {
+	if former.CountAge < formerUseTime {
 		// The first record of this process goes out before dispatch has told what it
 		// uses: without the former use the others would take it for none.
-		used := former.UsedAtMost()
-		c.record.Used, c.record.Demand, c.record.RecentDemand = used, former.Demand, former.RecentDemand
-		offerOrLog(c.dispatch, dispatchMessage(inheritUse{former: relay.FormerUse{
-			Used: used, Demand: former.Demand, RecentDemand: former.RecentDemand, Age: former.Age,
+		c.record.Used, c.record.Reserves = former.Used, former.Reserves
+		c.record.CountedAt = c.storeNow(now) - former.CountAge
+		offerOrLog(c.dispatch, dispatchMessage(inheritUse{former: limit.Former{
+			Used: former.Used, Reserves: former.Reserves, Age: former.CountAge,
 		}}), c.log)
 	}
 	c.log.Info().Uint64("incarnation", former.Incarnation).Int("windows", len(former.Windows)).Msg("counts_inherited")
--- a/daemon/entry/dispatch_message.go
+++ b/daemon/entry/dispatch_message.go
@@ -3,7 +3,9 @@
 // dispatchMessage is a message to the dispatch duty: requestArrived,
 // *attemptUpdate, callerGone, setCatalog, setUpstreams, confirmUpstreams,
 // setRetryBudget, setDivision, mergeEvidence, inheritUse, setClockOffset,
-// closeConnections, stopAccepting, countOpenRequests or dumpDispatch.
+// limitAsked, limitAnswered, useTold, useHeard,
+// limitsStored, closeConnections, stopAccepting, countOpenRequests or
+// dumpDispatch.
 type dispatchMessage interface {
 	isDispatchMessage()
 }
--- a/daemon/entry/dispatcher.go
+++ b/daemon/entry/dispatcher.go
@@ -38,6 +38,7 @@
 	cluster  *ring.Ring[clusterMessage]
 	watch    *ring.Ring[watchMessage]
 	upstream *httpc.Client
+	peers    *peerClient
 	// budget bounds what is kept of the responses of upstreams.
 	budget  *bytelimit.Budget
 	core    *relay.Core
@@ -61,6 +62,10 @@
 	usageCounts map[int64]usage.Counts
 	// draining are upstreams that are leaving, which the watch duty does not know yet.
 	draining []roster.Incarnation
+	// instance names this gateway.
+	instance string
+	// toldAt is when other holders of limits were last told of this gateway's use.
+	toldAt clock.Instant
 	// publishedAt is when statistics were last sent to the cluster duty.
 	publishedAt clock.Instant
 }
@@ -68,7 +73,7 @@
 func (d *dispatcher) run() error {
 	for {
 		now := d.clock.Now()
-		m, ok, err := d.inbox.TakeUntil(d.core.NextTick(now, statsInterval))
+		m, ok, err := d.inbox.TakeUntil(d.core.NextTick(now, tellInterval))
 		if err != nil {
 			return nil
 		}
@@ -80,6 +85,7 @@
 			d.core.Tick(now)
 			d.runActions(now)
 			d.publishStats(now)
+			d.tellPartners(now)
 		})
 	}
 }
@@ -116,6 +122,16 @@
 		d.core.SetReadyPeers(m.readyPeers)
 	case mergeEvidence:
 		d.core.MergeEvidence(m.list, now)
+	case limitAsked:
+		d.answerLimit(m, now)
+	case limitAnswered:
+		d.handleLimitAnswer(m, now)
+	case limitsStored:
+		d.core.LimitsStored(m.spent, m.reserves, m.countedAt)
+	case useTold:
+		d.answerUse(m, now)
+	case useHeard:
+		d.handleUse(m, now)
 	case inheritUse:
 		d.core.InheritUse(m.former, now)
 	case setClockOffset:
@@ -189,13 +205,19 @@
 			delete(d.exchanges, o.exchange)
 		}
 	}
-	d.log.Info().Str("id", n.ID).Str("route", n.Route).Str("customer", n.Customer).
+	line := d.log.Info().Str("id", n.ID).Str("route", n.Route).Str("customer", n.Customer).
 		Str("upstream", n.Upstream).Int("attempts", n.Attempts).Str("reason", string(n.Reason)).
 		Bool("not_run", n.NotRun).Int("status", n.Status).
 		Int64("first_ms", n.TimeToFirstEvent.Milliseconds()).Int64("took_ms", n.Elapsed.Milliseconds()).
 		Int64("predicted_ms", n.PredictedFirstEvent.Milliseconds()).Int("cached", n.CachedTokens).Int("open", n.Open).
 		Uint64("config", n.ConfigVersion).Int64("view_age_ms", n.UpstreamListAge.Milliseconds()).
-		Str("detail", n.Detail).Msg(string(n.Event))
+		Str("detail", n.Detail)
+	if f := n.Limit; f != nil {
+		line = line.Float64("limit_ceiling", f.Ceiling).Float64("limit_used", f.Used).Float64("limit_used_by_others", f.UsedByOthers).
+			Float64("limit_unknown", f.Unknown).Float64("limit_available", f.Available).Int("limit_holders", f.Holders).
+			Bool("limit_holder", f.IsHolder).Bool("limit_standby", f.IsStandby).Int64("limit_news_age_ms", f.NewsAge.Milliseconds())
+	}
+	line.Msg(string(n.Event))
 }
 
 // logBroken logs an attempt that broke off.
@@ -263,25 +285,23 @@
 // its ring is full, the usage counts go with the next message.
 func (d *dispatcher) publishStats(now clock.Instant) {
 	isUrgent := d.core.EvidenceIsUrgent()
-	exceedsReserves := d.core.ExceedsReserves(now)
-	if now.Sub(d.publishedAt) < statsInterval && !isUrgent && !exceedsReserves {
+	if now.Sub(d.publishedAt) < statsInterval && !isUrgent {
 		return
 	}
 	d.publishedAt = now
 	d.publishDraining()
 	d.metrics.update(d.core, now)
+	used, reserves := d.core.PublishUse(now)
 	stats := requestStats{
-		counts:       d.usageCounts,
-		demand:       d.core.Demand(now),
-		recentDemand: d.core.RecentDemand(now),
-		used:         d.core.Used(now),
-		reserved:     d.core.Reserves(now),
-		loads:        d.core.Loads(now),
-		readRates:    d.core.ReadRates(),
-		evidence:     d.core.Evidence(now),
-		isUrgent:     isUrgent,
-
-		exceedsReserves: exceedsReserves,
+		counts:    d.usageCounts,
+		used:      used,
+		reserves:  reserves,
+		countedAt: now,
+		spent:     d.core.SpentOfLimits(),
+		loads:     d.core.Loads(now),
+		readRates: d.core.ReadRates(),
+		evidence:  d.core.Evidence(now),
+		isUrgent:  isUrgent,
 	}
 	if d.cluster.Offer(stats) == nil {
 		d.usageCounts = make(map[int64]usage.Counts)
--- a/daemon/entry/dispatcher_actions.go
+++ b/daemon/entry/dispatcher_actions.go
@@ -24,6 +24,8 @@
 		d.send(&a, now)
 	case relay.Cancel:
 		d.cancel(a.Ref)
+	case relay.AskHolder:
+		d.askHolder(a, now)
 	case relay.RecordUsage:
 		d.countUsage(a.Customer, now)
 	case relay.LogEntry:
--- a/daemon/entry/entry_new.go
+++ b/daemon/entry/entry_new.go
@@ -49,6 +49,8 @@
 		inbox:       dispatchRing,
 		cluster:     clusterRing,
 		upstream:    e.upstream,
+		peers:       &peerClient{http: e.peer},
+		instance:    s.Instance,
 		budget:      budget,
 		core:        relay.New(e.relayConfig()),
 		clock:       clock.System{},
@@ -91,7 +93,7 @@
 		OnMalformed:    handler.logMalformed,
 	}, handler)
 	if s.AdminAddress != "" {
-		e.admin = httpd.New(httpd.Config{Address: s.AdminAddress, Pollers: 1}, &admin{report: e.report, peers: e.peers.inbox, log: log})
+		e.admin = httpd.New(httpd.Config{Address: s.AdminAddress, Pollers: 1}, &admin{report: e.report, peers: e.peers.inbox, dispatch: dispatchRing, log: log})
 	}
 	e.dispatch.containment = containment{duty: "dispatch", log: log}
 	e.watch.containment = containment{duty: "watch", log: log}
@@ -107,6 +109,7 @@
 		RetryExtra:          e.settings.RetryExtra,
 		RetryWindow:         e.settings.RetryWindow,
 		LimitWindow:         e.settings.LimitWindow,
+		LimitOverage:        e.settings.LimitOverage,
 		LimitSlack:          e.settings.LimitSlack,
 		GatewayCountUnknown: true,
 		Health: health.Config{
@@ -140,7 +143,6 @@
 		},
 		records:         exchange.NewRecordLog(),
 		view:            cluster.NewView(time.Duration(liveHeartbeats*float64(minHeartbeatInterval)), shareTimeout),
-		limitWindow:     s.LimitWindow,
 		tally:           usage.NewTally(window),
 		reporter:        usage.NewReporter(window, usageSettleTime, s.UsageReportLimit),
 		reportsUsage:    s.ReportsUsage && s.CloudAddress != "",
--- a/daemon/entry/inherit_test.go
+++ b/daemon/entry/inherit_test.go
@@ -10,6 +10,7 @@
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
+	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
 )
 
@@ -18,27 +19,27 @@
 var _ = ginkgo.It("coordinator publishes the use of its former process with its first record", func() {
 	now := clock.Instant(time.Hour)
 	c := &coordinator{
-		dispatch: ring.New[dispatchMessage]("dispatch", 4), log: zerolog.Nop(), limitWindow: 8 * time.Second,
+		dispatch: ring.New[dispatchMessage]("dispatch", 4), log: zerolog.Nop(),
 		record: cluster.Record{Instance: "g", Incarnation: 2}, tally: usage.NewTally(5 * time.Second),
 		view: cluster.NewView(time.Second, time.Second),
 	}
-	used := map[string]float64{"acme": 5000}
-	former := cluster.Record{Instance: "g", Incarnation: 1, Used: used, RecentDemand: used, Demand: used, Age: time.Second}
+	used := map[string]limit.Use{"acme": {5000}}
+	reserves := map[string]limit.Reserve{"acme": {Amount: 700, Pace: 30}}
+	former := cluster.Record{Instance: "g", Incarnation: 1, Used: used, Reserves: reserves, Age: time.Second, CountAge: 1200 * time.Millisecond}
 	c.view.Update([]cluster.Record{former}, now)
-	c.inheritCounts()
+	c.inheritCounts(now)
 	Expect(c.record.Used).To(Equal(used))
-	Expect(c.record.RecentDemand).To(Equal(used))
-
 	// What it may have used after its last record counts as well.
-	former.Reserved = map[string]float64{"acme": 700, "other": 300}
-	former.Sequence++
-	c.view.Update([]cluster.Record{former}, now)
-	c.inheritCounts()
-	Expect(c.record.Used).To(Equal(map[string]float64{"acme": 5700, "other": 300}))
+	Expect(c.record.Reserves).To(Equal(reserves))
+	Expect(c.record.CountedAt).To(Equal(c.storeNow(now) - 1200*time.Millisecond))
+	m, ok, err := c.dispatch.TakeUntil(time.Second)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(ok).To(BeTrue())
+	Expect(m).To(Equal(inheritUse{former: limit.Former{Used: used, Reserves: reserves, Age: 1200 * time.Millisecond}}))
 
 	c.record = cluster.Record{Instance: "g", Incarnation: 2}
-	former.Age = 9 * time.Second
+	former.Age, former.CountAge = 21*time.Second, 21*time.Second
 	c.view.Update([]cluster.Record{former}, now)
-	c.inheritCounts()
+	c.inheritCounts(now)
 	Expect(c.record.Used).To(BeEmpty())
 })
--- a/daemon/entry/inherit_use.go
+++ b/daemon/entry/inherit_use.go
@@ -1,11 +1,11 @@
 package entry
 
-import "github.com/sycamorecourse/sycamorecourse/serving/relay"
+import "github.com/sycamorecourse/sycamorecourse/serving/limit"
 
 // inheritUse hands over what a former process of this gateway has published of the
 // customers' limits.
 type inheritUse struct {
-	former relay.FormerUse
+	former limit.Former
 }
 
 func (inheritUse) isDispatchMessage() {}
--- a/daemon/entry/metrics.go
+++ b/daemon/entry/metrics.go
@@ -12,6 +12,12 @@
 // latencyBuckets are upper bounds in seconds.
 var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5, 15}
 
+// Outcomes of a question to another gateway that got no answer.
+const (
+	limitCallNotMade = "not_made"
+	limitCallFailed  = "failed"
+)
+
 // metrics are the Prometheus metrics of requests.
 type metrics struct {
 	ended            *prometheus.CounterVec
@@ -25,6 +31,7 @@
 	paused           prometheus.Counter
 	unsolicitedCount prometheus.Counter
 	promptTokens     *prometheus.GaugeVec
+	asked, lent      *prometheus.CounterVec
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -76,7 +83,15 @@
 			Help: "Prompt tokens of requests that ran since the start: all, and those believed to be cached.",
 		}, []string{"what"}),
 	}
-	registry.MustRegister(m.ended, m.retried, m.broken, m.firstEvent, m.duration, m.open, m.quarantined, m.draining, m.paused, m.unsolicitedCount, m.promptTokens)
+	m.asked = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sycamore_limit_asks_total",
+		Help: "Questions to other gateways about customers' limits, by what came of them.",
+	}, []string{"outcome"})
+	m.lent = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sycamore_limit_lends_total",
+		Help: "Questions of other gateways about customers' limits, by outcome.",
+	}, []string{"outcome"})
+	registry.MustRegister(m.asked, m.lent, m.ended, m.retried, m.broken, m.firstEvent, m.duration, m.open, m.quarantined, m.draining, m.paused, m.unsolicitedCount, m.promptTokens)
 	return m
 }
 
@@ -96,6 +111,14 @@
 	m.broken.WithLabelValues(n.Route, strconv.FormatBool(n.Starting)).Inc()
 }
 
+func (m *metrics) recordAsk(outcome string) {
+	m.asked.WithLabelValues(outcome).Inc()
+}
+
+func (m *metrics) recordLend(outcome string) {
+	m.lent.WithLabelValues(outcome).Inc()
+}
+
 func (m *metrics) update(core *relay.Core, now clock.Instant) {
 	counts := core.Counts()
 	m.quarantined.Set(float64(core.QuarantinedParts(now)))
--- a/daemon/entry/peer_client.go
+++ b/daemon/entry/peer_client.go
@@ -15,31 +15,57 @@
 	pollTimeout = 400 * time.Millisecond
 	// maxNewsBytes bounds the news of a hub.
 	maxNewsBytes = 8 << 20
+	// limitPath is the path at which a gateway answers whether a customer's limit admits a
+	// request, and maxLimitReplyBytes bounds its reply.
+	limitPath          = "/peers/limit"
+	maxLimitReplyBytes = 256
+	// usePath is the path at which a holder of limits takes the news of another one,
+	// useTimeout bounds the call, and maxUseBytes the reply.
+	usePath     = "/peers/use"
+	useTimeout  = 150 * time.Millisecond
+	maxUseBytes = 1 << 20
 )
 
-// peerClient polls other gateways. Its methods may be called by any thread.
+// peerClient calls other gateways. Its methods may be called by any thread.
 type peerClient struct {
 	http *httpc.Client
 }
 
 // poll sends a poll to a hub. It calls done once, on any thread.
 func (c *peerClient) poll(address string, p exchange.Poll, done func(exchange.News, error)) {
-	body, err := p.Encode()
+	sink := &peerSink[exchange.News]{maxBytes: maxNewsBytes, decode: exchange.DecodeNews, done: done}
+	call(c.http, address, pollPath, p, pollTimeout, sink)
+}
+
+// askLimit asks a gateway about a customer's limit. It calls done once, on any thread.
+func (c *peerClient) askLimit(address string, a exchange.LimitAsk, timeout time.Duration, done func(exchange.LimitReply, error)) {
+	sink := &peerSink[exchange.LimitReply]{maxBytes: maxLimitReplyBytes, decode: exchange.DecodeLimitReply, done: done}
+	call(c.http, address, limitPath, a, timeout, sink)
+}
+
+// tellUse exchanges news with another holder of limits. It calls done once, on any thread.
+func (c *peerClient) tellUse(address string, n exchange.HolderNews, done func(exchange.HolderNews, error)) {
+	sink := &peerSink[exchange.HolderNews]{maxBytes: maxUseBytes, decode: exchange.DecodeHolderNews, done: done}
+	call(c.http, address, usePath, n, useTimeout, sink)
+}
+
+// call sends a message to another gateway.
+func call[T any](client *httpc.Client, address, path string, message peerEncoder, timeout time.Duration, sink *peerSink[T]) {
+	body, err := message.Encode()
 	if err != nil {
-		done(exchange.News{}, err)
+		sink.Failed(err)
 		return
 	}
-	sink := &newsSink{done: done}
-	call := &httpc.Call{
+	err = client.Start(&httpc.Call{
 		Address: address,
 		Method:  http.MethodPost,
-		Path:    pollPath,
-		Header:  http.Header{"Content-Type": {"application/cbor"}},
+		Path:    path,
+		Header:  http.Header{"Content-Type": {cborType}},
 		Body:    body,
-		Timeout: pollTimeout,
+		Timeout: timeout,
 		Sink:    sink,
-	}
-	if err := c.http.Start(call); err != nil {
+	})
+	if err != nil {
 		sink.Failed(err)
 	}
 }
--- a/daemon/entry/peers.go
+++ b/daemon/entry/peers.go
@@ -232,7 +232,7 @@
 }
 
 func (p *peers) reply(m pollReceived, status int, body []byte) {
-	if err := m.exchange.Reply(status, http.Header{"Content-Type": {"application/cbor"}}, body); err != nil {
+	if err := m.exchange.Reply(status, http.Header{"Content-Type": {cborType}}, body); err != nil {
 		p.log.Debug().Str("peer", m.exchange.Remote).Str("cause", err.Error()).Msg("peer_gone")
 	}
 }
--- a/serving/cluster/fuzz_test.go
+++ b/serving/cluster/fuzz_test.go
@@ -5,10 +5,11 @@
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
+	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 )
 
 func FuzzDecode(f *testing.F) {
-	value, _ := cluster.Record{Instance: "a", Demand: map[string]float64{"x": 2}}.Encode()
+	value, _ := cluster.Record{Instance: "a", Used: map[string]limit.Use{"x": {2}}}.Encode()
 	f.Add(value)
 	f.Fuzz(func(_ *testing.T, value []byte) {
 		r, err := cluster.Decode("a", value)
--- a/serving/cluster/peer.go
+++ b/serving/cluster/peer.go
@@ -4,8 +4,7 @@
 
 // peer is the state of one gateway as last read.
 type peer struct {
-	record   Record
-	previous Record // at the read before
+	record Record
 	// changedAt is when the record was last seen to change, moved forward by
 	// periods without successful reads.
 	changedAt clock.Instant
@@ -16,4 +15,6 @@
 	// if that is not known, but at most maxRecordDelay before it was seen. It is never
 	// moved.
 	publishedAt clock.Instant
+	// countedAt is when the use of limits in the record was counted, found likewise.
+	countedAt clock.Instant
 }
--- a/serving/cluster/record.go
+++ b/serving/cluster/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
 	"github.com/sycamorecourse/sycamorecourse/serving/roster"
 	"github.com/sycamorecourse/sycamorecourse/serving/scale"
@@ -27,19 +28,11 @@
 	ClockOffset time.Duration `cbor:"7,keyasint" json:"Offset"`
 	// Windows counts the requests that began to run, by usage window and customer.
 	Windows map[int64]map[string]uint64 `cbor:"8,keyasint,omitempty"`
-	// Demand is the recent demand of each customer, per second, in the unit of its
-	// limit.
-	Demand map[string]float64 `cbor:"9,keyasint,omitempty"`
 	// Loads is the load that the gateway puts on each service.
 	Loads map[string]scale.Load `cbor:"10,keyasint,omitempty"`
 	// WrittenAt is the writer's estimate of the store's clock at the write, or 0 if
 	// it had none.
 	WrittenAt time.Duration `cbor:"11,keyasint,omitempty" json:"At"`
-	// Used is what each customer used of its limit at this gateway in the window
-	// over which limits are counted, up to the write.
-	Used map[string]float64 `cbor:"12,keyasint,omitempty"`
-	// RecentDemand is the demand of each customer over a shorter time than Demand.
-	RecentDemand map[string]float64 `cbor:"13,keyasint,omitempty"`
 	// PeerAddress is where other gateways poll for news; empty if they can't.
 	PeerAddress string `cbor:"14,keyasint,omitempty"`
 	// Evidence is what the gateway knows of prompt parts that may crash upstreams, with
@@ -48,19 +41,15 @@
 	// Draining are the upstreams that have lately told the gateway that they are
 	// leaving.
 	Draining []roster.Incarnation `cbor:"16,keyasint,omitempty"`
-	// Reserved is what each customer may use of its limit at this gateway beyond Used
-	// before the next write.
-	Reserved map[string]float64 `cbor:"17,keyasint,omitempty"`
-	// Age is the time from the write to the read, by the store's clock. The reader
-	// sets it; it is not stored.
-	Age time.Duration `cbor:"-"`
-}
-
-// UsedAtMost returns what each customer may have used of its limit at this gateway
-// before a process that takes its place has read the record.
-func (r Record) UsedAtMost() map[string]float64 {
-	sum := make(map[string]float64, len(r.Reserved))
-	addAmounts(sum, r.Used)
-	addAmounts(sum, r.Reserved)
-	return sum
+	// Used is what each customer used of its limit at this gateway in the window over
+	// which limits are counted, and Reserves what it may use beyond that.
+	Used     map[string]limit.Use     `cbor:"18,keyasint,omitempty"`
+	Reserves map[string]limit.Reserve `cbor:"19,keyasint,omitempty"`
+	// CountedAt is the writer's estimate of the store's clock when it counted Used and
+	// Reserves, or 0 if it had none.
+	CountedAt time.Duration `cbor:"20,keyasint,omitempty"`
+	// Age and CountAge are the times from the write, and from CountedAt, to the read, by
+	// the store's clock. The reader sets them; they are not stored.
+	Age      time.Duration `cbor:"-"`
+	CountAge time.Duration `cbor:"-"`
 }
--- a/serving/cluster/view.go
+++ b/serving/cluster/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
 	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 )
@@ -56,14 +57,17 @@
 		isNew := p == nil
 		if isNew {
 			p = &peer{changedAt: now, publishedAt: publishedAt(record, now), writtenAt: now}
+			p.countedAt = now.Add(-record.CountAge)
 			if anyRecent {
 				p.writtenAt = now.Add(-record.Age)
 			}
 			v.peers[record.Instance] = p
 		}
-		p.previous, p.record = p.record, record
-		if !isNew && (p.previous.Sequence != record.Sequence || p.previous.Incarnation != record.Incarnation) {
+		previous := p.record
+		p.record = record
+		if !isNew && (previous.Sequence != record.Sequence || previous.Incarnation != record.Incarnation) {
 			p.changedAt, p.publishedAt = now, publishedAt(record, now)
+			p.countedAt = now.Add(-min(record.CountAge, maxRecordDelay))
 			// The record changed, so it was written after the previous read.
 			p.writtenAt = max(now.Add(-record.Age), previousRead)
 		}
@@ -86,7 +90,12 @@
 
 // Live returns the records of the live gateways, ordered by name.
 func (v *View) Live() []Record {
-	return v.list(func(p *peer) bool { return v.lastRead.Sub(p.writtenAt) < v.liveTimeout })
+	return v.list(v.isLive)
+}
+
+// isLive reports whether the record of a gateway was written lately.
+func (v *View) isLive(p *peer) bool {
+	return v.lastRead.Sub(p.writtenAt) < v.liveTimeout
 }
 
 // ShareHolders returns the records of the gateways among which limits and budgets
@@ -218,83 +227,49 @@
 	return offsets[(len(offsets)-1)/2], true
 }
 
-// Shares returns a gateway's part of each customer's limit, from 0 to 1. One part
-// of the limit is divided evenly, so that a gateway without recent demand can
-// serve new requests, and the rest by recent demand. The gateway's own demand is
-// capped at that of the previous heartbeat, since the others read it with that
-// delay: otherwise the shares would exceed the limit while demand rises.
-func (v *View) Shares(self string) map[string]float64 {
-	holders := 0
-	totals := make(map[string]float64)
-	own := make(map[string]float64)
-	for name, p := range v.peers {
-		if !v.holdsShare(p) {
-			continue
-		}
-		holders++
-		for customer, demand := range p.record.Demand {
-			if name == self {
-				demand = min(demand, p.previous.Demand[customer])
-				own[customer] = demand
-			}
-			totals[customer] += demand
-		}
-	}
-	shares := make(map[string]float64, len(totals))
-	even := 1 / float64(max(holders, 1))
-	for customer, total := range totals {
-		if total <= 0 {
-			continue
-		}
-		shares[customer] = evenFraction*even + (1-evenFraction)*own[customer]/total
-	}
-	return shares
-}
-
 // Divide returns a gateway's part of limits and budgets. A stale view reduces the
 // part, since the others may have taken it over, but not to zero: usually the
 // store is unavailable to all gateways, and they keep the former division.
 func (v *View) Divide(self string, now clock.Instant) Division {
 	currentFor := time.Duration(currentFraction * float64(v.liveTimeout))
-	d := Division{
-		Shares:               v.Shares(self),
-		RecentDemandOfOthers: make(map[string]float64),
-		UsedByOthers:         make(map[string]float64),
-		ReservedByOthers:     make(map[string]float64),
-		UsedBySilent:         make(map[string]float64),
-		CurrentUntil:         v.lastRead.Add(currentFor),
-		Stale:                v.IsStale(now),
-	}
-	for name, p := range v.peers {
-		if !v.holdsShare(p) {
-			continue
-		}
-		d.Gateways++
-		switch {
-		case name == self:
-		case v.lastRead.Sub(p.changedAt) >= currentFor:
-			d.Silent++
-			addAmounts(d.UsedBySilent, p.record.Used)
-		default:
-			addAmounts(d.UsedByOthers, p.record.Used)
-			addAmounts(d.ReservedByOthers, p.record.Reserved)
-			addAmounts(d.RecentDemandOfOthers, p.record.RecentDemand)
+	d := Division{Stale: v.IsStale(now)}
+	for _, p := range v.peers {
+		if v.holdsShare(p) {
+			d.Gateways++
 		}
 	}
 	d.Gateways = max(d.Gateways, 1)
+	share := 1 / float64(d.Gateways)
+	// A gateway that has not published anything yet will be ready with its first record.
+	d.Limits = limit.Division{Instance: self, IsReady: v.peers[self] == nil, Share: share, CurrentUntil: v.lastRead.Add(currentFor), CurrentFor: currentFor}
 	if d.Stale {
-		for customer := range d.Shares {
-			d.Shares[customer] *= staleShareFactor
-		}
+		d.Limits.Share *= staleShareFactor
 		d.Gateways = int(float64(d.Gateways) / staleShareFactor)
 	}
+	for name, p := range v.peers {
+		if name == self {
+			d.Limits.IsReady = p.record.Ready
+			continue
+		}
+		d.Limits.Peers = append(d.Limits.Peers, v.limitPeer(p, share))
+	}
 	return d
 }
 
-// addAmounts adds an amount of each customer to a sum.
-func addAmounts(sum, amounts map[string]float64) {
-	for customer, amount := range amounts {
-		sum[customer] += amount
+// limitPeer returns what is known of the use of limits by another gateway. A gateway that
+// the others have dropped from the division may still be serving with a reduced share,
+// and have used its whole one before.
+func (v *View) limitPeer(p *peer, share float64) limit.Peer {
+	if v.lastRead.Sub(p.changedAt) >= 2*v.shareTimeout {
+		share *= staleShareFactor
+	}
+	return limit.Peer{
+		Holder:    limit.Holder{Instance: p.record.Instance, Address: p.record.PeerAddress},
+		IsReady:   p.record.Ready && v.isLive(p),
+		Used:      p.record.Used,
+		Reserves:  p.record.Reserves,
+		CountedAt: p.countedAt,
+		Share:     share,
 	}
 }
 
@@ -305,8 +280,6 @@
 }
 
 const (
-	// evenFraction is the fraction of a limit that is divided evenly.
-	evenFraction = 0.4
 	// currentFraction is the fraction of the live timeout for which the use and demand
 	// of the other gateways are current after a read. It exceeds the time between two
 	// reads.
--- a/serving/cluster/view_test.go
+++ b/serving/cluster/view_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
+	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 )
 
 func TestCluster(t *testing.T) {
@@ -94,20 +95,51 @@
 		Expect(v.CountsPublishedUntil()).To(Equal(at(500 * time.Millisecond)))
 	})
 
-	It("keeps what silent gateways used apart from what the others use now", func() {
+	It("divides limits with all other gateways, and tells what is known of those that fell silent", func() {
 		v := cluster.NewView(3*time.Second, 8*time.Second)
-		use := func(name string, sequence uint64, used float64) cluster.Record {
-			amounts := map[string]float64{"x": used}
-			return cluster.Record{Instance: name, Sequence: sequence, Used: amounts, RecentDemand: amounts}
+		use := func(name string, sequence uint64, used float64, age time.Duration) cluster.Record {
+			return cluster.Record{
+				Instance: name, PeerAddress: name + ":1", Ready: true, Sequence: sequence,
+				Used: map[string]limit.Use{"x": {used}}, Reserves: map[string]limit.Reserve{"x": {Amount: 1, Pace: 2}}, CountAge: age,
+			}
 		}
-		v.Update([]cluster.Record{use("a", 1, 1), use("b", 1, 10), use("c", 1, 100)}, at(0))
-		v.Update([]cluster.Record{use("a", 2, 2), use("b", 2, 20), use("c", 1, 100)}, at(2500*time.Millisecond))
-		d := v.Divide("a", at(2500*time.Millisecond))
+		v.Update([]cluster.Record{use("a", 1, 1, 0), use("b", 1, 10, 0), use("c", 1, 100, 0)}, at(0))
+		v.Update([]cluster.Record{use("a", 2, 2, 0), use("b", 2, 20, 0), use("c", 1, 100, 0)}, at(2*time.Second))
+		v.Update([]cluster.Record{use("a", 3, 2, 0), use("b", 3, 20, 200*time.Millisecond), use("c", 1, 100, 0)}, at(3500*time.Millisecond))
+		d := v.Divide("a", at(3500*time.Millisecond))
 		Expect(d.Gateways).To(Equal(3))
-		Expect(d.UsedByOthers).To(Equal(map[string]float64{"x": 20}))
-		Expect(d.RecentDemandOfOthers).To(Equal(map[string]float64{"x": 20}))
-		Expect(d.Silent).To(Equal(1))
-		Expect(d.UsedBySilent).To(Equal(map[string]float64{"x": 100}))
+		Expect(d.Limits.Instance).To(Equal("a"))
+		Expect(d.Limits.IsReady).To(BeTrue())
+		Expect(d.Limits.Share).To(BeNumerically("~", 1.0/3))
+		Expect(d.Limits.Peers).To(ConsistOf(
+			limit.Peer{
+				Holder: limit.Holder{Instance: "b", Address: "b:1"}, IsReady: true, Share: 1.0 / 3, CountedAt: at(3300 * time.Millisecond),
+				Used: map[string]limit.Use{"x": {20}}, Reserves: map[string]limit.Reserve{"x": {Amount: 1, Pace: 2}},
+			},
+			limit.Peer{
+				Holder: limit.Holder{Instance: "c", Address: "c:1"}, Share: 1.0 / 3, CountedAt: at(0),
+				Used: map[string]limit.Use{"x": {100}}, Reserves: map[string]limit.Reserve{"x": {Amount: 1, Pace: 2}},
+			},
+		))
+	})
+
+	It("still counts a gateway that was dropped from the division, with the share that it keeps", func() {
+		v := cluster.NewView(3*time.Second, 8*time.Second)
+		v.Update([]cluster.Record{{Instance: "a", Sequence: 1}, {Instance: "b", Sequence: 1}}, at(0))
+		share := func(seconds int) float64 {
+			v.Update([]cluster.Record{{Instance: "a", Sequence: uint64(seconds + 1)}, {Instance: "b", Sequence: 1}}, at(time.Duration(seconds)*time.Second))
+			d := v.Divide("a", at(time.Duration(seconds)*time.Second))
+			Expect(d.Limits.Peers).To(HaveLen(1))
+			return d.Limits.Peers[0].Share
+		}
+		for i := 1; i < 8; i++ {
+			Expect(share(i)).To(Equal(0.5))
+		}
+		Expect(share(9)).To(Equal(1.0))
+		for i := 10; i < 16; i++ {
+			share(i)
+		}
+		Expect(share(16)).To(BeNumerically("~", 0.35))
 	})
 
 	It("replaces a lease candidate that is no longer live", func() {
@@ -137,7 +169,7 @@
 	})
 
 	It("rejects values that are malformed or belong to another key", func() {
-		record := cluster.Record{Instance: "a", Demand: map[string]float64{"x": 2}}
+		record := cluster.Record{Instance: "a", Used: map[string]limit.Use{"x": {2}}}
 		value, err := record.Encode()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(cluster.Decode("a", value)).To(Equal(record))
@@ -148,23 +180,26 @@
 	})
 })
 
-// TestShares checks that the shares of all gateways add up to at most the whole
-// limit when all of them have read the same demand.
+// TestShares checks that the shares of all gateways add up to the whole limit when all of
+// them have read the same records, and to less if some have fallen silent or are cut off.
 func TestShares(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(1, 8).Draw(t, "gateways")
 		records := make([]cluster.Record, count)
 		for i := range records {
-			records[i] = cluster.Record{Instance: string(rune('a' + i)), Sequence: 1, Demand: map[string]float64{"x": rapid.Float64Range(0, 100).Draw(t, "demand")}}
+			records[i] = cluster.Record{Instance: string(rune('a' + i)), Sequence: 1}
 		}
 		sum := 0.0
 		for i := range records {
 			v := cluster.NewView(time.Second, time.Second)
 			v.Update(records, clock.Instant(time.Hour))
-			v.Update(records, clock.Instant(time.Hour+1))
-			share, ok := v.Shares(records[i].Instance)["x"]
-			if !ok {
-				share = 1 / float64(count)
+			now := clock.Instant(time.Hour)
+			if rapid.Bool().Draw(t, "cut off") {
+				now = now.Add(time.Minute)
+			}
+			share := v.Divide(records[i].Instance, now).Limits.Share
+			if share <= 0 {
+				t.Fatalf("gateway %d has the share %f", i, share)
 			}
 			sum += share
 		}
--- a/serving/exchange/encoding.go
+++ b/serving/exchange/encoding.go
@@ -51,3 +51,48 @@
 	}
 	return n, nil
 }
+
+// Encode returns the message in its wire format.
+func (a LimitAsk) Encode() ([]byte, error) {
+	return cbor.Marshal(a)
+}
+
+// Encode returns the message in its wire format.
+func (r LimitReply) Encode() ([]byte, error) {
+	return cbor.Marshal(r)
+}
+
+// DecodeLimitAsk decodes a LimitAsk. It fails with a *DecodeError.
+func DecodeLimitAsk(body []byte) (LimitAsk, error) {
+	var a LimitAsk
+	if err := decoding.Unmarshal(body, &a); err != nil {
+		return LimitAsk{}, &DecodeError{Message: "limit ask", Err: err}
+	}
+	return a, nil
+}
+
+// DecodeLimitReply decodes a LimitReply. It fails with a *DecodeError.
+func DecodeLimitReply(body []byte) (LimitReply, error) {
+	var r LimitReply
+	if err := decoding.Unmarshal(body, &r); err != nil {
+		return LimitReply{}, &DecodeError{Message: "limit reply", Err: err}
+	}
+	return r, nil
+}
+
+// Encode returns the message in its wire format.
+func (n HolderNews) Encode() ([]byte, error) {
+	return cbor.Marshal(n)
+}
+
+// DecodeHolderNews decodes HolderNews. It fails with a *DecodeError.
+func DecodeHolderNews(body []byte) (HolderNews, error) {
+	var n HolderNews
+	if err := decoding.Unmarshal(body, &n); err != nil {
+		return HolderNews{}, &DecodeError{Message: "holder news", Err: err}
+	}
+	if n.Instance == "" {
+		return HolderNews{}, &DecodeError{Message: "holder news", Err: &NoSenderError{}}
+	}
+	return n, nil
+}
--- a/serving/exchange/exchange_test.go
+++ b/serving/exchange/exchange_test.go
@@ -12,6 +12,7 @@
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
 	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
+	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 )
 
 func TestExchange(t *testing.T) {
@@ -269,7 +270,7 @@
 
 var _ = Describe("Messages", func() {
 	It("are encoded and decoded", func() {
-		poll := exchange.Poll{Record: cluster.Record{Instance: "a", Used: map[string]float64{"x": 2}}, Hub: 4, Position: 9, Versions: map[string]uint64{"t": 3}}
+		poll := exchange.Poll{Record: cluster.Record{Instance: "a", Used: map[string]limit.Use{"x": {2}}}, Hub: 4, Position: 9, Versions: map[string]uint64{"t": 3}}
 		body, err := poll.Encode()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(exchange.DecodePoll(body)).To(Equal(poll))
--- a/serving/exchange/record_log.go
+++ b/serving/exchange/record_log.go
@@ -57,6 +57,10 @@
 		r := logged.record
 		if r.WrittenAt != 0 {
 			r.Age = max(storeClock-r.WrittenAt, 0)
+			r.CountAge = r.Age
+		}
+		if r.CountedAt != 0 {
+			r.CountAge = max(storeClock-r.CountedAt, 0)
 		}
 		list = append(list, r)
 	}
--- /dev/null
+++ b/serving/limit/division.go
@@ -0,0 +1,23 @@
+package limit
+
+import (
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+)
+
+// Division is what a gateway knows of those with which it shares the limits.
+type Division struct {
+	// Instance names this gateway, and IsReady is true if it takes requests.
+	Instance string
+	IsReady  bool
+	// Share is the part of each limit, from 0 to 1, that this gateway uses while it does
+	// not know what the others use.
+	Share float64
+	// Peers are the other gateways, those that have fallen silent included.
+	Peers []Peer
+	// CurrentUntil is the instant from which what the peers have published is too old to
+	// go by, and CurrentFor the time for which it is current after it was read.
+	CurrentUntil clock.Instant
+	CurrentFor   time.Duration
+}
--- /dev/null
+++ b/serving/limit/peer.go
@@ -0,0 +1,27 @@
+package limit
+
+import (
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+)
+
+// Peer is what is known of the use of limits by another gateway.
+type Peer struct {
+	Holder
+	// IsReady is true if the gateway is live and takes requests.
+	IsReady bool
+	// Used and Reserves are what it last published, by customer.
+	Used     map[string]Use
+	Reserves map[string]Reserve
+	// CountedAt is when it counted that.
+	CountedAt clock.Instant
+	// Share is the part of each limit that it uses once it knows no longer what the
+	// others use.
+	Share float64
+}
+
+// age returns the time since the peer counted its use.
+func (p Peer) age(now clock.Instant) time.Duration {
+	return max(now.Sub(p.CountedAt), 0) + clockError
+}
--- a/serving/relay/action.go
+++ b/serving/relay/action.go
@@ -1,7 +1,7 @@
 package relay
 
 // Action is an instruction to the owner of a Core: Send, Cancel, StartStream,
-// WriteStream, EndStream, Reply, Refuse, Abort, RecordUsage or LogEntry.
+// WriteStream, EndStream, Reply, Refuse, Abort, AskHolder, RecordUsage or LogEntry.
 type Action interface {
 	isAction()
 }
--- a/serving/relay/config.go
+++ b/serving/relay/config.go
@@ -18,8 +18,11 @@
 	// LimitWindow is the sliding window in which a customer's use of its limit is
 	// counted; 0 means 8 seconds.
 	LimitWindow time.Duration
-	// LimitSlack is how much all gateways together may admit beyond a customer's
-	// rate and burst, in the unit of the limit.
+	// LimitOverage is the part of a customer's limit by which its use in a LimitWindow
+	// may exceed it, over all gateways.
+	LimitOverage float64
+	// LimitSlack is how much all gateways together may admit beyond that, in the unit
+	// of the limit.
 	LimitSlack float64
 	// GatewayCountUnknown is set if there are other gateways whose number is not
 	// known until the first call of SetDivision.
--- a/serving/relay/core.go
+++ b/serving/relay/core.go
@@ -6,6 +6,7 @@
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
+	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
 )
 
@@ -17,26 +18,8 @@
 	pools    map[string]*pool
 	requests map[Handle]*requestState
 	timers   timers
-	limiters map[string]*limiter
-	division cluster.Division
-	// divisionKnown is set once SetDivision was called.
-	divisionKnown bool
-	// settledFrom is when all use of which this gateway may not know, from before its
-	// start or from a time in which it missed the records of the others, has left the
-	// LimitWindow.
-	settledFrom clock.Instant
-	// cautiousUntil is the end of a time in which this gateway may not know much use, so
-	// that only customers far below their limits are admitted beyond the bucket.
-	cautiousUntil clock.Instant
-	// demands and recentDemands hold the demand of each customer with a limit.
-	demands, recentDemands map[string]*demand
-	// inheritedUse is what a former process of this gateway used of the limits of
-	// customers that have no limiter yet.
-	inheritedUse map[string]float64
-	// knowsFormer is true if what a former process of this gateway has used is known well.
-	knowsFormer bool
-	// hasFormer is true if there was a former process.
-	hasFormer bool
+	// limits are the customers' limits.
+	limits *limit.Table
 	// quarantine finds the prompt parts that crash upstreams.
 	quarantine *quarantine.Tracker
 	gateways   int
@@ -73,13 +56,11 @@
 		config:   config,
 		pools:    make(map[string]*pool),
 		requests: make(map[Handle]*requestState),
-		limiters: make(map[string]*limiter),
-		gateways: gateways,
-
-		demands:       make(map[string]*demand),
-		recentDemands: make(map[string]*demand),
-		inheritedUse:  make(map[string]float64),
-		quarantine:    quarantine.NewTracker(),
+		limits: limit.NewTable(limit.Config{
+			Window: config.LimitWindow, Overage: config.LimitOverage, Slack: config.LimitSlack, IsAlone: !config.GatewayCountUnknown,
+		}),
+		gateways:   gateways,
+		quarantine: quarantine.NewTracker(),
 	}
 }
 
@@ -97,14 +78,7 @@
 		return
 	}
 	c.catalog = next
-	for name, l := range c.limiters {
-		customer := next.Customers[name]
-		if customer == nil || customer.Rate <= 0 {
-			delete(c.limiters, name)
-			continue
-		}
-		l.configure(customer, c.gateways)
-	}
+	c.limits.Configure(next.Customers, now)
 }
 
 // SetUpstreams replaces the list of upstreams that may get requests.
@@ -132,23 +106,11 @@
 	c.upstreamsAt = now
 }
 
-// SetDivision sets the number of gateways and this gateway's shares of the
+// SetDivision sets the number of gateways and what is known of their use of the
 // customers' limits.
 func (c *Core) SetDivision(d cluster.Division, now clock.Instant) {
-	if wasCurrent := now.Before(c.division.CurrentUntil); !wasCurrent {
-		c.settledFrom = now.Add(c.config.LimitWindow)
-		if c.divisionKnown || !c.knowsFormer {
-			c.cautiousUntil = c.settledFrom
-		}
-	}
-	c.divisionKnown = true
-	c.gateways, c.division = max(d.Gateways, 1), d
-	for name, l := range c.limiters {
-		l.share, l.slack = c.limitShare(name), c.limitSlack()
-		if c.catalog != nil && c.catalog.Customers[name] != nil {
-			l.configure(c.catalog.Customers[name], c.gateways)
-		}
-	}
+	c.gateways = max(d.Gateways, 1)
+	c.limits.SetDivision(d.Limits, now)
 }
 
 // Drain makes the Core refuse requests that may not end by an instant, when this
@@ -231,16 +193,3 @@
 func (c *Core) emit(a Action) {
 	c.actions = append(c.actions, a)
 }
-
-// limitSlack returns this gateway's part of the slack of each limit.
-func (c *Core) limitSlack() float64 {
-	return min(gatewaySlackShare, totalSlackShare/float64(c.gateways)) * c.config.LimitSlack
-}
-
-// limitShare returns this gateway's share of a customer's limit, 0 to 1.
-func (c *Core) limitShare(customer string) float64 {
-	if share, ok := c.division.Shares[customer]; ok {
-		return share
-	}
-	return 1 / float64(c.gateways)
-}
--- a/serving/relay/core_arrive.go
+++ b/serving/relay/core_arrive.go
@@ -58,12 +58,13 @@
 	}
 	s.deadline = now.Add(c.timeout(s))
 	s.pool = c.pools[pickService(s.route, r.ID)]
-	if wait, ok := c.charge(s, now); !ok {
-		c.refuse(s, Refusal{Reason: Throttled, RetryAfter: wait}, now)
-		return
-	}
 	c.requests[r.Handle] = s
 	c.timers.add(timer{at: s.deadline, handle: r.Handle})
+	c.charge(s, now)
+}
+
+// start sends a request that its customer's limit admits.
+func (c *Core) start(s *requestState, now clock.Instant) {
 	if !c.place(s, now) {
 		c.refuseUnplaced(s, now)
 	}
@@ -134,84 +135,3 @@
 	}
 	return ""
 }
-
-// charge takes the cost of a request from its customer's limit: from this gateway's
-// share, or from what the gateways together leave unused. If the limit is exceeded,
-// it returns false and the time after which the caller should try again.
-func (c *Core) charge(s *requestState, now clock.Instant) (time.Duration, bool) {
-	if s.customer == nil || s.customer.Rate <= 0 {
-		return 0, true
-	}
-	amount := cost(s)
-	c.recordDemand(s.customer.Name, amount, now)
-	l := c.limiter(s.customer, now)
-	l.advance(now)
-	if !l.holds(amount) && !c.mayOverdraw(s, l, now) {
-		return l.wait(amount), false
-	}
-	l.spend(amount)
-	return 0, true
-}
-
-// mayOverdraw reports whether a request is admitted that its customer's bucket does
-// not hold.
-func (c *Core) mayOverdraw(s *requestState, l *limiter, now clock.Instant) bool {
-	a, isKnown := c.admission(l, s.customer, now)
-	if !isKnown {
-		return l.isFull()
-	}
-	return isAdmitted(s.request.ID, a.fraction())
-}
-
-// limiter returns the limiter of a customer, created on first use.
-func (c *Core) limiter(customer *catalog.Customer, now clock.Instant) *limiter {
-	l := c.limiters[customer.Name]
-	if l == nil {
-		l = &limiter{
-			share:      c.limitShare(customer.Name),
-			slack:      c.limitSlack(),
-			totalSlack: c.config.LimitSlack,
-			window:     max(c.config.LimitWindow, limitBuckets),
-		}
-		l.start(customer, c.gateways, c.initialFill(now), now)
-		if !c.isSettled(now) {
-			l.inherit(c.inheritedUse[customer.Name], now)
-		}
-		delete(c.inheritedUse, customer.Name)
-		c.limiters[customer.Name] = l
-	}
-	return l
-}
-
-// initialFill returns the part of a new bucket that is full. It is empty as long as a
-// former process of this gateway may have used it, and until that is known.
-func (c *Core) initialFill(now clock.Instant) float64 {
-	mayHaveFormer := c.config.GatewayCountUnknown && !c.divisionKnown
-	if mayHaveFormer || (c.hasFormer && !c.isSettled(now)) {
-		return 0
-	}
-	return initialFill
-}
-
-// cost returns the cost of a request in the unit of its customer's limit. For
-// tokens it is the most that the request may use.
-func cost(s *requestState) float64 {
-	switch {
-	case !s.customer.CountsTokens:
-		return 1
-	case s.request.Prompt == nil:
-		return s.customer.PlainTokens
-	default:
-		return float64(s.request.Prompt.Tokens + s.request.Prompt.MaxOutput)
-	}
-}
-
-// refund returns the cost of a request that was not run.
-func (c *Core) refund(s *requestState) {
-	if s.customer == nil || s.customer.Rate <= 0 {
-		return
-	}
-	if l := c.limiters[s.customer.Name]; l != nil {
-		l.refund(cost(s))
-	}
-}
--- a/serving/relay/core_end.go
+++ b/serving/relay/core_end.go
@@ -83,7 +83,7 @@
 	if s.pool != nil {
 		wait = s.pool.retryAfter(s.request.ID, now)
 	}
-	c.refund(s)
+	c.refund(s, now)
 	c.refuse(s, Refusal{Reason: reason, RetryAfter: wait}, now)
 }
 
--- a/serving/relay/core_log.go
+++ b/serving/relay/core_log.go
@@ -40,6 +40,7 @@
 		Open:                s.predicted.open,
 		UpstreamListAge:     now.Sub(c.upstreamsAt),
 		Detail:              s.detail,
+		Limit:               s.limitFacts,
 	}
 	if s.route != nil {
 		entry.Route = s.route.Name
--- a/serving/relay/counts.go
+++ b/serving/relay/counts.go
@@ -5,5 +5,6 @@
 type Counts struct {
 	Arrived, Answered, Refused, Broken, Aborted, Abandoned uint64
 	Sent, Retried, Ran                                     uint64
+	Asked, Lent                                            uint64
 	PromptTokens, CachedTokens                             uint64
 }
--- a/serving/relay/doc.go
+++ b/serving/relay/doc.go
@@ -1,7 +1,7 @@
 // Package relay decides how a gateway proxies requests that it passes on
 // unchanged: which upstream gets each request, which requests are retried,
-// moved to another upstream, refused or canceled, and how much each customer may
-// send. It does no I/O, reads no clock and knows no wire format.
+// moved to another upstream, refused or canceled. Package limit counts how much each
+// customer may send. It does no I/O, reads no clock and knows no wire format.
 //
 // A Core is owned by one thread, which reports each event by a method call and
 // then carries out the actions that [Core.Actions] returns.
--- a/serving/relay/gateways_test.go
+++ b/serving/relay/gateways_test.go
@@ -10,6 +10,7 @@
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
+	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 	"github.com/sycamorecourse/sycamorecourse/serving/relay"
 )
 
@@ -37,23 +38,25 @@
 	card              cluster.Record
 	nextHeartbeat     clock.Instant
 	lastHeartbeat     clock.Instant
-	lastWrite         clock.Instant
 	deadUntil         clock.Instant
 	pausedUntil       clock.Instant
 	disconnectedUntil clock.Instant
 	hasRead           bool
 	// requestCost is the cost of each request.
 	requestCost float64
+	// spent are the totals of use at the last heartbeat.
+	spent map[string]float64
 }
 
 func (g *gateway) start(now clock.Instant) {
 	g.core = relay.New(relay.Config{
-		RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindow, LimitSlack: limitSlack, LimitWindow: limitWindow, GatewayCountUnknown: true,
+		RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindow, LimitOverage: limitOverage, LimitSlack: limitSlack,
+		LimitWindow: limitWindow, GatewayCountUnknown: true,
 	})
 	g.core.Configure(limitCatalog(g.requestCost), now)
 	g.core.SetUpstreams([]*catalog.Upstream{{ID: "a", Service: "s", Slots: 9999}, {ID: "b", Service: "s", Slots: 9999}}, now)
 	g.view = cluster.NewView(2300*time.Millisecond, holdTime)
-	g.card = cluster.Record{Instance: g.name, Incarnation: g.card.Incarnation + 1, Ready: true}
+	g.card = cluster.Record{Instance: g.name, PeerAddress: g.name, Incarnation: g.card.Incarnation + 1, Ready: true}
 	g.nextHeartbeat = now
 	g.hasRead = false
 }
@@ -74,27 +77,38 @@
 	// The first time it only reads: the row is still that of its former process.
 	if g.hasRead {
 		g.card.Sequence++
-		g.card.Demand = g.core.Demand(now)
-		g.card.RecentDemand = g.core.RecentDemand(now)
-		g.card.Used = g.core.Used(now)
-		g.card.Reserved = g.core.Reserves(now)
+		g.card.Used, g.card.Reserves = g.core.PublishUse(now)
+		g.card.CountedAt = time.Duration(now)
+		g.spent = g.core.SpentOfLimits()
 		rows[g.name] = g.card
-		g.lastWrite = now
+		g.core.LimitsStored(g.spent, g.card.Reserves, now)
 	}
 	cards := make([]cluster.Record, 0, len(rows))
 	for _, card := range rows {
+		card.CountAge = time.Duration(now) - card.CountedAt
 		cards = append(cards, card)
 	}
 	g.view.Update(cards, now)
 	if !g.hasRead {
 		if former, ok := rows[g.name]; ok {
-			g.core.InheritUse(relay.FormerUse{Used: former.UsedAtMost(), Demand: former.Demand, RecentDemand: former.RecentDemand, Age: now.Sub(g.lastWrite)}, now)
+			g.core.InheritUse(limit.Former{Used: former.Used, Reserves: former.Reserves, Age: time.Duration(now) - former.CountedAt}, now)
 		}
 	}
 	g.hasRead = true
 	g.core.SetDivision(g.view.Divide(g.name, now), now)
 }
 
+// exceedsRestartReserve reports whether much of what the gateway's record reserves for a
+// restart has been used, so that the next one is due.
+func (g *gateway) exceedsRestartReserve() bool {
+	for name, spent := range g.core.SpentOfLimits() {
+		if spent-g.spent[name] > 0.8*g.card.Reserves[name].Restart {
+			return true
+		}
+	}
+	return false
+}
+
 func limitCatalog(requestCost float64) *catalog.Catalog {
 	return catalog.New(1, []*catalog.Route{{
 		Name: "safe", Host: "h", Prefix: "/safe/", Kind: catalog.Idempotent, MaxAttempts: 2, Timeout: time.Second,
@@ -177,7 +191,16 @@
 					break
 				}
 				requests.add(now)
-				sends, ran := serveRequest(g.core, turn, rejected, now)
+				answer := func(ask relay.AskHolder) (limit.Decision, bool) {
+					for _, other := range gateways {
+						isReached := now >= other.deadUntil && now >= other.pausedUntil && now >= max(g.disconnectedUntil, other.disconnectedUntil)
+						if other.name == ask.Holder.Instance && other.core != nil && isReached {
+							return other.core.LendLimit(ask.Customer, ask.Amount, now), true
+						}
+					}
+					return limit.Decision{}, false
+				}
+				sends, ran := serveRequest(g.core, answer, turn, rejected, now)
 				for range sends - 1 {
 					retries.add(now)
 				}
@@ -241,13 +264,13 @@
 // serveRequest sends a request through a core. Upstreams run it, or reject its
 // first attempt if number modulo 3 is below rejected. It returns how often the
 // request was sent and whether it ran.
-func serveRequest(core *relay.Core, number, rejected int, now clock.Instant) (sends int, ran bool) {
+func serveRequest(core *relay.Core, answer answerer, number, rejected int, now clock.Instant) (sends int, ran bool) {
 	core.RequestArrived(relay.Request{
 		Handle: relay.Handle(number), ID: fmt.Sprint(number), Host: "h", Path: "/safe/x", Credential: "k",
 	}, now)
 	for ; ; sends++ {
 		var sent *relay.Send
-		for _, a := range core.Actions() {
+		for _, a := range settle(core, answer, now) {
 			if s, isSend := a.(relay.Send); isSend {
 				sent = &s
 			}
--- a/serving/relay/log_entry.go
+++ b/serving/relay/log_entry.go
@@ -1,6 +1,10 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/serving/limit"
+)
 
 // LogEntry reports a retry or the end of a request, for the log and the metrics.
 type LogEntry struct {
@@ -46,6 +50,8 @@
 	UpstreamListAge time.Duration
 	// Detail is the cause of the last failure.
 	Detail string
+	// Limit is the state of the customer's limit if the request was refused for it.
+	Limit *limit.Facts
 }
 
 func (LogEntry) isAction() {}
--- a/serving/relay/many_gateways_test.go
+++ b/serving/relay/many_gateways_test.go
@@ -11,6 +11,7 @@
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
+	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 	"github.com/sycamorecourse/sycamorecourse/serving/relay"
 )
 
@@ -18,13 +19,13 @@
 const (
 	clusterStep      = 100 * time.Millisecond
 	clusterHeartbeat = 1000 * time.Millisecond
-	// clusterUrgentHeartbeat and clusterUrgentPerGateway bound heartbeats that are
-	// brought forward.
-	clusterUrgentHeartbeat  = 100 * time.Millisecond
-	clusterUrgentPerGateway = 5 * time.Millisecond
-	clusterWindow           = 8 * time.Second
-	clusterOverage          = 0.1
-	clusterSlack            = 110_000.0
+	// clusterUrgentHeartbeat is the least time between two heartbeats.
+	clusterUrgentHeartbeat = 200 * time.Millisecond
+	// tellSteps is the number of steps between two messages of holders of limits.
+	tellSteps      = 3
+	clusterWindow  = 8 * time.Second
+	clusterOverage = 0.1
+	clusterSlack   = 110_000.0
 	// requestTokens is the mean cost of a request; single ones cost 0.2 to 3 times
 	// as much.
 	requestTokens = 6000.0
@@ -36,8 +37,12 @@
 	rate float64 // of its limit, in tokens per second
 	// offered returns its demand in tokens per second some time after the start.
 	offered func(after time.Duration) float64
+	// gateways returns the number of gateways that its callers use some time after the
+	// start; nil for all.
+	gateways func(after time.Duration) int
 
 	asked, refused int
+	total          float64 // used since the start
 	used           []tokenUse
 	// mostUsed is the most that it used in a window.
 	mostUsed float64
@@ -51,6 +56,7 @@
 
 // use counts an admitted request.
 func (c *simulatedCustomer) use(amount float64, now clock.Instant) {
+	c.total += amount
 	c.used = append(c.used, tokenUse{now, amount})
 	for now.Sub(c.used[0].at) >= clusterWindow {
 		c.used = c.used[1:]
@@ -75,15 +81,19 @@
 	now       clock.Instant
 	start     clock.Instant
 	gateways  []*gateway
+	byName    map[string]*gateway
 	rows      map[string]cluster.Record
 	customers []*simulatedCustomer
 	requests  uint64
+	steps     int
+	// lossRate is the part of answers between gateways that are lost.
+	lossRate float64
 }
 
 func newSimulatedCluster(gateways int, customers []*simulatedCustomer) *simulatedCluster {
 	s := &simulatedCluster{
 		random: rand.New(rand.NewPCG(7, uint64(gateways))), now: clock.Instant(time.Hour), start: clock.Instant(time.Hour),
-		rows: make(map[string]cluster.Record), customers: customers,
+		byName: make(map[string]*gateway), rows: make(map[string]cluster.Record), customers: customers,
 	}
 	for i := range gateways {
 		g := &gateway{name: fmt.Sprintf("gateway-%d", i)}
@@ -91,6 +101,7 @@
 		// Heartbeats are spread over the interval.
 		g.nextHeartbeat = s.now.Add(time.Duration(s.random.Int64N(int64(clusterHeartbeat))))
 		s.gateways = append(s.gateways, g)
+		s.byName[g.name] = g
 	}
 	return s
 }
@@ -101,29 +112,24 @@
 	for _, c := range s.customers {
 		list = append(list, &catalog.Customer{Name: c.name, Credentials: []string{c.name}, Rate: c.rate, Burst: c.rate, CountsTokens: true})
 	}
-	g.core = relay.New(relay.Config{LimitSlack: clusterSlack, LimitWindow: clusterWindow, GatewayCountUnknown: true})
+	g.core = relay.New(relay.Config{LimitOverage: clusterOverage, LimitSlack: clusterSlack, LimitWindow: clusterWindow, GatewayCountUnknown: true})
 	g.core.Configure(catalog.New(1, []*catalog.Route{{
 		Name: "r", Host: "h", Prefix: "/r/", Kind: catalog.Stream, MaxAttempts: 1, Timeout: time.Minute,
 		Services: []catalog.WeightedService{{Service: "s", Weight: 1}},
 	}}, nil, list, catalog.Limits{}), s.now)
 	g.core.SetUpstreams([]*catalog.Upstream{{ID: "a", Service: "s", Slots: 1 << 30}}, s.now)
 	g.view = cluster.NewView(3600*time.Millisecond, 8*time.Second)
-	g.card = cluster.Record{Instance: g.name, Incarnation: g.card.Incarnation + 1, Ready: true}
+	g.card = cluster.Record{Instance: g.name, PeerAddress: g.name, Incarnation: g.card.Incarnation + 1, Ready: true}
 	g.hasRead = false
 	g.nextHeartbeat = s.now
 }
 
-// urgentInterval is the least time between two heartbeats of a gateway.
-func (s *simulatedCluster) urgentInterval() time.Duration {
-	return max(clusterUrgentHeartbeat, time.Duration(len(s.gateways))*clusterUrgentPerGateway)
-}
-
 // run lets time pass and the customers send.
 func (s *simulatedCluster) run(d time.Duration) {
 	for end := s.now.Add(d); s.now < end; s.now = s.now.Add(clusterStep) {
 		for _, g := range s.gateways {
-			if g.hasRead && g.core.ExceedsReserves(s.now) {
-				g.nextHeartbeat = min(g.nextHeartbeat, max(s.now, g.lastHeartbeat.Add(s.urgentInterval())))
+			if g.hasRead && g.exceedsRestartReserve() {
+				g.nextHeartbeat = min(g.nextHeartbeat, max(s.now, g.lastHeartbeat.Add(clusterUrgentHeartbeat)))
 			}
 			if s.now >= g.nextHeartbeat {
 				g.lastHeartbeat = s.now
@@ -135,6 +141,9 @@
 				}
 			}
 		}
+		if s.steps++; s.steps%tellSteps == 0 {
+			s.tellHolders()
+		}
 		for _, c := range s.customers {
 			s.send(c)
 		}
@@ -151,13 +160,13 @@
 		}
 		s.requests++
 		tokens := int(requestTokens * (0.2 + 1.6*s.random.Float64()))
-		g := s.gateways[s.random.IntN(len(s.gateways))]
+		g := s.pick(c)
 		c.asked++
 		g.core.RequestArrived(relay.Request{
 			Handle: relay.Handle(s.requests), ID: fmt.Sprint(s.requests), Host: "h", Path: "/r/x", Credential: c.name,
 			Prompt: &relay.Prompt{Tokens: tokens},
 		}, s.now)
-		if s.finish(g.core) {
+		if s.finish(g) {
 			c.use(float64(tokens), s.now)
 			continue
 		}
@@ -165,17 +174,51 @@
 	}
 }
 
+// tellHolders lets the holders of limits tell each other of their use.
+func (s *simulatedCluster) tellHolders() {
+	for _, g := range s.gateways {
+		for _, partner := range g.core.LimitPartners() {
+			to := s.byName[partner.Instance]
+			if s.now < max(g.disconnectedUntil, to.disconnectedUntil) || s.random.Float64() < s.lossRate {
+				continue
+			}
+			used, reserves := g.core.TellUse(s.now)
+			to.core.HearUse(g.name, used, reserves, s.now, s.now)
+		}
+	}
+}
+
+// pick returns the gateway that a caller of a customer uses.
+func (s *simulatedCluster) pick(c *simulatedCustomer) *gateway {
+	count := len(s.gateways)
+	if c.gateways != nil {
+		count = min(c.gateways(s.now.Sub(s.start)), count)
+	}
+	return s.gateways[s.random.IntN(count)]
+}
+
+// answer lets a gateway answer the question of another one. Cut-off gateways neither ask
+// nor answer, and some answers are lost on the way.
+func (s *simulatedCluster) answer(from *gateway, ask relay.AskHolder) (limit.Decision, bool) {
+	to := s.byName[ask.Holder.Instance]
+	if s.now < max(from.disconnectedUntil, to.disconnectedUntil) {
+		return limit.Decision{}, false
+	}
+	d := to.core.LendLimit(ask.Customer, ask.Amount, s.now)
+	return d, s.random.Float64() >= s.lossRate
+}
+
 // finish ends the request that was just sent and reports whether it ran.
-func (s *simulatedCluster) finish(core *relay.Core) bool {
-	for _, a := range core.Actions() {
+func (s *simulatedCluster) finish(g *gateway) bool {
+	for _, a := range settle(g.core, func(ask relay.AskHolder) (limit.Decision, bool) { return s.answer(g, ask) }, s.now) {
 		sent, ok := a.(relay.Send)
 		if !ok {
 			continue
 		}
-		core.HeadReceived(sent.Ref, sealedOK, s.now)
-		core.BodyReceived(sent.Ref, relay.BodyChunk{Bytes: []byte("x"), FirstEvent: 1, LastEvent: 1}, s.now)
-		core.ResponseEnded(sent.Ref, s.now)
-		core.Actions()
+		g.core.HeadReceived(sent.Ref, sealedOK, s.now)
+		g.core.BodyReceived(sent.Ref, relay.BodyChunk{Bytes: []byte("x"), FirstEvent: 1, LastEvent: 1}, s.now)
+		g.core.ResponseEnded(sent.Ref, s.now)
+		g.core.Actions()
 		return true
 	}
 	return false
--- a/serving/relay/reason.go
+++ b/serving/relay/reason.go
@@ -18,6 +18,8 @@
 	BodyTooLarge Reason = "body_too_large"
 	// Throttled: the customer has exceeded its limit.
 	Throttled Reason = "throttled"
+	// LimitUnknown: no gateway that counts the customer's limit has answered.
+	LimitUnknown Reason = "limit_unknown"
 	// NoUpstream: the service has no upstream.
 	NoUpstream Reason = "no_upstream"
 	// Overloaded: no upstream has capacity, the latency target would be missed, or
--- a/serving/relay/relay_test.go
+++ b/serving/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
+	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 	"github.com/sycamorecourse/sycamorecourse/serving/relay"
 )
 
@@ -290,42 +291,72 @@
 			return n
 		}
 		Expect(passed(10)).To(BeNumerically("~", 102, 3))
-		h.core.SetDivision(cluster.Division{Gateways: 4}, h.now)
+		h.core.SetDivision(cluster.Division{Gateways: 4, Limits: limit.Division{Share: 0.25}}, h.now)
 		// What was used before the division counts for a window.
 		passed(9)
 		Expect(passed(10)).To(BeNumerically("~", 25, 2))
 	})
 
-	DescribeTable("admits the same fraction of a customer's requests at each of many gateways", func(gateways int, demand, used float64, after time.Duration, stale bool, least, most int) {
+	DescribeTable("admits a customer's requests while all that may have been used stays below its limit", func(gateways int, used, reserved float64, isNew, stale bool, least, most int) {
 		// The limit is 10 requests per second with a burst of 4, or 84 in a window.
-		division := cluster.Division{Gateways: gateways, RecentDemandOfOthers: map[string]float64{"acme": demand}, UsedByOthers: map[string]float64{"acme": used}}
-		division.CurrentUntil = h.now.Add(after + time.Second)
-		h.core.SetDivision(division, h.now)
-		h.advance(after)
-		division.Stale = stale
-		h.core.SetDivision(division, h.now)
+		peers := float64(gateways - 1)
+		divide := func() {
+			d := cluster.Division{Gateways: gateways, Stale: stale}
+			d.Limits = limit.Division{Instance: "g", IsReady: true, Share: 1 / float64(gateways), CurrentFor: 2 * time.Second}
+			if !stale {
+				d.Limits.CurrentUntil = h.now.Add(2 * time.Second)
+			}
+			for i := range gateways - 1 {
+				name := strconv.Itoa(i)
+				d.Limits.Peers = append(d.Limits.Peers, limit.Peer{
+					Holder: limit.Holder{Instance: name, Address: name}, IsReady: true, CountedAt: h.now, Share: d.Limits.Share,
+					Used:     map[string]limit.Use{"acme": {used / peers}},
+					Reserves: map[string]limit.Reserve{"acme": {Amount: reserved / peers, Pace: 0.01, ActiveIn: -4 * time.Second}},
+				})
+			}
+			h.core.SetDivision(d, h.now)
+			h.core.PublishUse(h.now)
+		}
+		divide()
+		for range 12 {
+			if !isNew {
+				h.advance(500 * time.Millisecond)
+				divide()
+			}
+		}
 		sent := 0
 		for range 12 {
 			h.last++
 			h.core.RequestArrived(relay.Request{Handle: h.last, ID: strconv.FormatUint(uint64(h.last), 10), Host: "h", Path: "/once/x", Credential: "k"}, h.now)
-			for _, s := range actionsOf[relay.Send](h) {
-				sent++
-				h.core.HeadReceived(s.Ref, sealedOK, h.now)
-				h.core.ResponseEnded(s.Ref, h.now)
-				h.core.Actions()
+			for actions := h.core.Actions(); len(actions) > 0; actions = h.core.Actions() {
+				for _, a := range actions {
+					switch a := a.(type) {
+					case relay.AskHolder:
+						// The others know the same.
+						outcome := limit.Admitted
+						if float64(sent) >= 84-used-reserved {
+							outcome = limit.Exceeded
+						}
+						h.core.LimitAnswered(a.Handle, limit.Decision{Outcome: outcome}, h.now)
+					case relay.Send:
+						sent++
+						h.core.HeadReceived(a.Ref, sealedOK, h.now)
+						h.core.ResponseEnded(a.Ref, h.now)
+					}
+				}
 			}
 		}
 		Expect(sent).To(BeNumerically(">=", least))
 		Expect(sent).To(BeNumerically("<=", most))
 	},
-		Entry("all while it is far below its limit, with few gateways", 4, 1.0, 8.0, 9*time.Second, false, 12, 12),
-		Entry("few near its limit, with few gateways", 4, 9.0, 72.0, 9*time.Second, false, 0, 4),
-		Entry("its share with few gateways while their use is not known", 4, 1.0, 8.0, 9*time.Second, true, 0, 2),
-		Entry("all while it is below its limit", 300, 5.5, 44.0, 9*time.Second, false, 12, 12),
-		Entry("some while its demand is above its limit", 300, 40.0, 60.0, 9*time.Second, false, 1, 6),
-		Entry("none once the allowance of the window is used", 300, 40.0, 84.0, 9*time.Second, false, 0, 0),
-		Entry("all, also at a gateway that has just started", 300, 2.0, 16.0, 0*time.Second, false, 12, 12),
-		Entry("its share at a gateway that can't read what the others use", 300, 5.5, 44.0, 9*time.Second, true, 0, 1),
+		Entry("all while it is far below its limit, with few gateways", 4, 8.0, 8.0, false, false, 12, 12),
+		Entry("few near its limit, with few gateways", 4, 72.0, 8.0, false, false, 0, 4),
+		Entry("its share with few gateways while their use is not known", 4, 8.0, 8.0, false, true, 0, 2),
+		Entry("all while it is below its limit", 300, 44.0, 8.0, false, false, 12, 12),
+		Entry("none once the limit is used", 300, 84.0, 0.0, false, false, 0, 0),
+		Entry("none once the others may have used it", 300, 44.0, 40.0, false, false, 0, 0),
+		Entry("all, also at a gateway that has just started", 300, 16.0, 8.0, true, false, 12, 12),
+		Entry("its share at a gateway that can't read what the others use", 300, 44.0, 8.0, false, true, 0, 1),
 	)
 
 	It("neither repeats nor gives up what runs at an upstream that falls silent for the store", func() {
@@ -436,7 +467,7 @@
 			h := newHarness()
 			h.core = relay.New(relay.Config{LimitSlack: slack})
 			h.core.Configure(testCatalog(1), h.now)
-			h.core.SetDivision(cluster.Division{Gateways: gateways}, h.now)
+			h.core.SetDivision(cluster.Division{Gateways: gateways, Limits: limit.Division{Share: 1.0 / gateways}}, h.now)
 			h.upstreams("a")
 			cores = append(cores, h)
 		}
--- a/serving/relay/request_state.go
+++ b/serving/relay/request_state.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
+	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
 )
 
@@ -30,6 +31,15 @@
 	detail        string
 	upstream      string
 	predicted     prediction
+
+	// asked are the gateways that were asked whether the customer's limit admits the
+	// request, and isAsking is true until the last one has answered.
+	asked    []string
+	isAsking bool
+	// wasGranted is true if one of them has admitted the request.
+	wasGranted bool
+	// limitFacts are what the request was refused for by its customer's limit.
+	limitFacts *limit.Facts
 }
 
 func (s *requestState) ref() AttemptRef {
--- a/serving/relay/snapshot.go
+++ b/serving/relay/snapshot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 )
 
 // Snapshot is the state of a Core for debugging.
@@ -15,6 +16,8 @@
 	UpstreamListAge time.Duration    `json:"view_age_ns"`
 	Counts          Counts           `json:"counts"`
 	Members         []MemberSnapshot `json:"upstreams"`
+	// Limits are the states of the customers' limits.
+	Limits map[string]limit.Facts `json:"limits"`
 	// Quarantined holds the time left of the quarantine of each prompt part.
 	Quarantined map[uint64]time.Duration `json:"quarantined_ns"`
 }
@@ -28,6 +31,7 @@
 		UpstreamListAge: now.Sub(c.upstreamsAt),
 		Counts:          c.counts,
 		Quarantined:     c.quarantine.Quarantined(now),
+		Limits:          c.limits.Facts(now),
 	}
 	if c.catalog != nil {
 		s.ConfigVersion = c.catalog.Version
