--- a/daemon/entry/coordinator_records.go
+++ b/daemon/entry/coordinator_records.go
@@ -49,23 +49,6 @@
 	c.heartbeatAt = min(c.heartbeatAt, max(now, c.lastHeartbeat.Add(interval)))
 }
 
-// exceedsRestartReserve reports whether much of what the last written record reserves for
-// a restart has been used.
-func (c *coordinator) exceedsRestartReserve() bool {
-	for name, spent := range c.spent {
-		if spent-c.storedSpent[name] > restartReserveShare*c.stored[name].Restart {
-			return true
-		}
-	}
-	return false
-}
-
-// restartHeartbeatInterval returns the least time between two writes of this gateway's
-// record while more is used than it reserves for a restart.
-func (c *coordinator) restartHeartbeatInterval() time.Duration {
-	return max(minRestartHeartbeat, restartHeartbeatPerGateway*time.Duration(len(c.view.ShareHolders())))
-}
-
 // updateRecord brings this gateway's record up to date before it is published.
 func (c *coordinator) updateRecord(now clock.Instant) {
 	c.record.Sequence++
--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -13,6 +13,7 @@
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/platform/served"
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
+	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
 	"github.com/sycamorecourse/sycamorecourse/serving/roster"
 )
 
@@ -88,9 +89,11 @@
 	// some of them for their number.
 	throttleBackoff *retry.Backoff
 
-	tables map[string]*watchedTable
-	roster *roster.Roster
-	config *catalog.Catalog
+	// sendClock tells when the store sent its responses.
+	sendClock exchange.SendClock
+	tables    map[string]*watchedTable
+	roster    *roster.Roster
+	config    *catalog.Catalog
 	// isHub is set if this gateway follows the store for others.
 	isHub bool
 	// announcedReady is set once the directory and the cluster duty have been told
--- a/daemon/entry/watch_apply.go
+++ b/daemon/entry/watch_apply.go
@@ -60,7 +60,7 @@
 // sharePage hands what the store has returned to the peers duty. If that has no
 // room, the whole table is read again, since the peers duty must not miss a change.
 func (w *watch) sharePage(t *watchedTable, p rows.Page, isList bool, now clock.Instant) {
-	if err := w.peers.Offer(tableRead{update: updateOf(t.table, p, isList), confirmedAt: t.confirmedAt(now)}); err != nil {
+	if err := w.peers.Offer(tableRead{update: updateOf(t.table, p, isList), confirmedAt: w.confirmedAt(t, p, now)}); err != nil {
 		w.log.Warn().Str("cause", err.Error()).Msg("message_dropped")
 		t.needsList = true
 	}
--- a/daemon/entry/watch_calls.go
+++ b/daemon/entry/watch_calls.go
@@ -61,9 +61,9 @@
 
 // confirmedAt returns until when the response to the last call for a table was current
 // at least. The response of a store that answers in time has just been sent; a later one
-// may have waited here, for example while the process was suspended.
-func (t *watchedTable) confirmedAt(now clock.Instant) clock.Instant {
-	return min(now, t.calledAt.Add(t.heldFor+storeResponseTime))
+// may have waited here, for example while the process was suspended, or in the link.
+func (w *watch) confirmedAt(t *watchedTable, p rows.Page, now clock.Instant) clock.Instant {
+	return min(now, t.calledAt.Add(t.heldFor+storeResponseTime), w.sendClock.SentAt(p.Clock, now))
 }
 
 func (w *watch) handleResponse(m watchMessage, now clock.Instant) {
--- a/daemon/entry/watch_test.go
+++ b/daemon/entry/watch_test.go
@@ -49,6 +49,24 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(m.(tableRead).confirmedAt.Sub(start)).To(BeNumerically("<=", limit/2))
 	})
+
+	ginkgo.It("as a hub dates a response that waited in its link by the store's clock", func() {
+		w := newWatch()
+		w.propagationLimit, w.isHub = limit, true
+		w.dispatch = ring.New[dispatchMessage]("dispatch", 64)
+		w.peers = ring.New[peerMessage]("peers", 64)
+		t := w.tables[served.UpstreamTable]
+		respond := func(called, sent, arrived time.Duration) time.Duration {
+			t.needsList, t.version, t.calling, t.calledAt, t.heldFor = false, 7, true, start.Add(called), w.feedWait()
+			page := rows.Page{Version: 7, Clock: time.Minute + sent}
+			w.handle(watchMessage{table: served.UpstreamTable, page: page}, start.Add(arrived))
+			m, err := w.peers.Take()
+			Expect(err).NotTo(HaveOccurred())
+			return m.(tableRead).confirmedAt.Sub(start)
+		}
+		Expect(respond(0, 50*time.Millisecond, 54*time.Millisecond)).To(Equal(54 * time.Millisecond))
+		Expect(respond(time.Second, 1050*time.Millisecond, 1700*time.Millisecond)).To(Equal(1054 * time.Millisecond))
+	})
 })
 
 // After a restart of all gateways each of them reads whole tables at the same time.
--- a/serving/limit/table.go
+++ b/serving/limit/table.go
@@ -1,13 +1,9 @@
 package limit
 
 import (
-	"cmp"
 	"maps"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
 )
@@ -121,46 +117,6 @@
 	t.chooseHolders(l)
 }
 
-// newest returns the newer of what a peer has published and what it has told directly of
-// one limit.
-func (t *Table) newest(p Peer, customer string) Peer {
-	h, ok := t.heard[p.Instance]
-	if _, isTold := h.Reserves[customer]; !ok || !isTold || !h.CountedAt.After(p.CountedAt) {
-		return p
-	}
-	p.Used, p.Reserves, p.CountedAt = h.Used, h.Reserves, h.CountedAt
-	return p
-}
-
-// chooseHolders finds the holders of a limit by rendezvous hashing over the ready
-// gateways, so that gateways that know the same records choose the same.
-func (t *Table) chooseHolders(l *limiter) {
-	type candidate struct {
-		holder Holder
-		score  uint64
-		isSelf bool
-	}
-	var list []candidate
-	if t.division.IsReady {
-		list = append(list, candidate{score: xxhash.Sum64String(l.name + "@" + t.division.Instance), isSelf: true})
-	}
-	for _, p := range t.division.Peers {
-		if p.IsReady && p.Address != "" {
-			list = append(list, candidate{holder: p.Holder, score: xxhash.Sum64String(l.name + "@" + p.Instance)})
-		}
-	}
-	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
-	list = list[:l.terms.holdersOf(len(list))]
-	l.holders, l.isHolder = l.holders[:0], false
-	for _, c := range list {
-		if c.isSelf {
-			l.isHolder = true
-		} else {
-			l.holders = append(l.holders, c.holder)
-		}
-	}
-}
-
 // Charge decides on a request of a customer. The holders that were asked before are
 // left out. The hash of the request spreads requests over the holders.
 func (t *Table) Charge(customer string, amount float64, hash uint64, asked []string, now clock.Instant) Decision {
@@ -227,17 +183,6 @@
 	return t.isDivided && now.Before(t.division.CurrentUntil)
 }
 
-// nextHolder returns a holder that was not asked yet.
-func (t *Table) nextHolder(l *limiter, hash uint64, asked []string, now clock.Instant) (Holder, bool) {
-	for i := range l.holders {
-		h := l.holders[(hash+uint64(i))%uint64(len(l.holders))]
-		if !slices.Contains(asked, h.Instance) && !now.Before(t.failedUntil[h.Instance]) {
-			return h, true
-		}
-	}
-	return Holder{}, false
-}
-
 // Lend decides on a request that another gateway asks about. What is admitted counts
 // as used here.
 func (t *Table) Lend(customer string, amount float64, now clock.Instant) Decision {
@@ -284,89 +229,6 @@
 	}
 }
 
-// Publish returns what this gateway is to publish: its use by customer, and what it may
-// use beyond that.
-func (t *Table) Publish(now clock.Instant) (map[string]Use, map[string]Reserve) {
-	used, reserves := make(map[string]Use), make(map[string]Reserve)
-	for name, l := range t.limiters {
-		l.advance(now)
-		if use := l.window.use(); l.window.sum > 0 {
-			used[name] = use
-		}
-		// What is announced while this gateway is cut off may reach nobody, so that the
-		// former announcements still count.
-		if t.isCurrent(now) {
-			l.announce(now)
-		}
-		if r := l.reserve(now); r.Pace > 0 {
-			reserves[name] = r
-		}
-	}
-	return used, reserves
-}
-
-// Spent returns the totals of what this process has used of the limits that it holds.
-func (t *Table) Spent() map[string]float64 {
-	out := make(map[string]float64)
-	for name, l := range t.limiters {
-		if l.isHolder {
-			out[name] = l.spent
-		}
-	}
-	return out
-}
-
-// Stored records that the store has a record of this gateway with the given reserves, as
-// of the given totals of Spent. No more is used than it reserves for a restart until it
-// has a newer one, or for as long as a restart relies on it.
-func (t *Table) Stored(spent map[string]float64, reserves map[string]Reserve, countedAt clock.Instant) {
-	for name, l := range t.limiters {
-		l.restart = restartBound{}
-		if r, ok := reserves[name]; ok {
-			l.restart = restartBound{reserve: r.Restart, spent: spent[name], countedAt: countedAt}
-		}
-	}
-}
-
-// Partners returns the other holders of the limits that this gateway holds and that are
-// in use, which should hear of its use soon.
-func (t *Table) Partners() []Holder {
-	var list []Holder
-	for _, l := range t.limiters {
-		if !l.isHolder || l.window.sum <= 0 {
-			continue
-		}
-		for _, h := range l.holders {
-			if !slices.Contains(list, h) {
-				list = append(list, h)
-			}
-		}
-	}
-	return list
-}
-
-// Tell returns what this gateway tells other holders: its use of the limits that it
-// holds, as Publish.
-func (t *Table) Tell(now clock.Instant) (map[string]Use, map[string]Reserve) {
-	used, reserves := t.Publish(now)
-	for name := range used {
-		if _, ok := reserves[name]; !ok {
-			delete(used, name)
-		}
-	}
-	return used, reserves
-}
-
-// Hear takes over what another holder has told.
-func (t *Table) Hear(instance string, used map[string]Use, reserves map[string]Reserve, countedAt, now clock.Instant) {
-	t.heard[instance] = Peer{Used: used, Reserves: reserves, CountedAt: min(countedAt, now)}
-	for name := range reserves {
-		if l := t.limiters[name]; l != nil && l.isHolder {
-			t.divideOne(l, now)
-		}
-	}
-}
-
 // Facts returns the state of all limits for dumps.
 func (t *Table) Facts(now clock.Instant) map[string]Facts {
 	out := make(map[string]Facts, len(t.limiters))
