--- a/daemon/entry/coordinator.go
+++ b/daemon/entry/coordinator.go
@@ -14,6 +14,7 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
 	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
 	"github.com/sycamorecourse/sycamorecourse/serving/limit"
+	"github.com/sycamorecourse/sycamorecourse/serving/rollout"
 	"github.com/sycamorecourse/sycamorecourse/serving/roster"
 	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
@@ -114,12 +115,18 @@
 	spent, storedSpent       map[string]float64
 	spentAt, storedCountedAt clock.Instant
 	stored                   map[string]limit.Reserve
-	tally                    *usage.Tally
-	reporter                 *usage.Reporter
-	reportsUsage             bool
-	planner                  *scale.Planner
-	readRates                map[string]float64 // of one engine of each service, in tokens per second
-	fleet                    setFleet
+	// rolloutOrders are the roll-outs in force, by service, and rollouts what is known of
+	// their stored stages while this gateway holds the lease.
+	rolloutOrders  map[string]rollout.Order
+	rollouts       map[string]*storedRollout
+	rolloutPlanner rollout.Planner
+	rolloutsAt     clock.Instant
+	tally          *usage.Tally
+	reporter       *usage.Reporter
+	reportsUsage   bool
+	planner        *scale.Planner
+	readRates      map[string]float64 // of one engine of each service, in tokens per second
+	fleet          setFleet
 	// drainingAt holds when upstreams have told this gateway that they are leaving, and
 	// drainingPassed those of other gateways that the watch duty has been told of.
 	drainingAt      map[roster.Incarnation]clock.Instant
@@ -175,6 +182,9 @@
 	if c.holdsLease && !c.reporting {
 		wait = min(wait, max(c.reportAt.Sub(now), reportRetryDelay))
 	}
+	if c.holdsLease && len(c.rolloutOrders) > 0 {
+		wait = min(wait, rolloutInterval)
+	}
 	return max(wait, 0)
 }
 
@@ -194,6 +204,7 @@
 	}
 	if c.holdsLease {
 		c.orderUpstreams(now)
+		c.planRollouts(now)
 	}
 }
 
@@ -204,6 +215,7 @@
 			c.tally.Add(window, counts)
 		}
 		c.record.Used, c.record.Reserves, c.record.CountedAt = m.used, m.reserves, c.storeNow(m.countedAt)
+		c.record.Rollouts, c.record.RolloutEvidence = m.rollouts, m.rolloutEvidence
 		c.record.Loads = m.loads
 		if c.hasRead {
 			c.record.Evidence = shiftEvidence(m.evidence, c.storeNow(now)-time.Duration(now))
@@ -233,6 +245,12 @@
 		c.handleCountsRead(m, now)
 	case usageReported:
 		c.handleUsageReported(m, now)
+	case setRollouts:
+		c.rolloutOrders = m.orders
+	case rolloutRead:
+		c.handleRolloutRead(m)
+	case rolloutWritten:
+		c.handleRolloutWritten(m, now)
 	case upstreamDraining:
 		c.handleDraining(m.incarnation, now)
 	case upstreamsOrdered:
--- a/daemon/entry/coordinator_duties.go
+++ b/daemon/entry/coordinator_duties.go
@@ -64,6 +64,7 @@
 	if holds {
 		c.reporter.Restart()
 		c.planner = scale.NewPlanner()
+		c.rollouts = make(map[string]*storedRollout)
 		c.reportAt = now
 	}
 }
--- a/daemon/entry/coordinator_records.go
+++ b/daemon/entry/coordinator_records.go
@@ -242,6 +242,7 @@
 	c.publishHubs(ready)
 	c.publishEvidence(now)
 	c.publishDraining()
+	c.publishRollouts()
 	offerOrLog(c.dispatch, dispatchMessage(message), c.log)
 	offerOrLog(c.dispatch, dispatchMessage(setClockOffset{offset: c.clockOffset()}), c.log)
 }
--- a/daemon/entry/dispatch_message.go
+++ b/daemon/entry/dispatch_message.go
@@ -4,7 +4,7 @@
 // *attemptUpdate, callerGone, setCatalog, setUpstreams, confirmUpstreams,
 // setRetryBudget, setDivision, mergeEvidence, inheritUse, setClockOffset,
 // limitAsked, limitAnswered, useTold, useHeard,
-// limitsStored, closeConnections, stopAccepting, countOpenRequests or
+// limitsStored, setRollouts, hearRollouts, closeConnections, stopAccepting, countOpenRequests or
 // dumpDispatch.
 type dispatchMessage interface {
 	isDispatchMessage()
--- a/daemon/entry/dispatcher.go
+++ b/daemon/entry/dispatcher.go
@@ -126,6 +126,10 @@
 		d.answerLimit(m, now)
 	case limitAnswered:
 		d.handleLimitAnswer(m, now)
+	case setRollouts:
+		d.core.SetRollouts(m.orders)
+	case hearRollouts:
+		d.core.HearRollouts(m.stages, m.evidence)
 	case limitsStored:
 		d.core.LimitsStored(m.spent, m.reserves, m.countedAt)
 	case useTold:
--- a/daemon/entry/dispatcher_stats.go
+++ b/daemon/entry/dispatcher_stats.go
@@ -22,10 +22,13 @@
 		reserves:  reserves,
 		countedAt: now,
 		spent:     d.core.SpentOfLimits(),
-		loads:     d.core.Loads(now),
-		readRates: d.core.ReadRates(),
-		evidence:  d.core.Evidence(now),
-		isUrgent:  isUrgent,
+		rollouts:  d.core.RolloutStages(),
+
+		rolloutEvidence: d.core.RolloutEvidence(),
+		loads:           d.core.Loads(now),
+		readRates:       d.core.ReadRates(),
+		evidence:        d.core.Evidence(now),
+		isUrgent:        isUrgent,
 	}
 	if d.cluster.Offer(stats) == nil {
 		d.usageCounts = make(map[int64]usage.Counts)
--- a/daemon/entry/entry_new.go
+++ b/daemon/entry/entry_new.go
@@ -21,6 +21,7 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
 	"github.com/sycamorecourse/sycamorecourse/serving/health"
 	"github.com/sycamorecourse/sycamorecourse/serving/relay"
+	"github.com/sycamorecourse/sycamorecourse/serving/rollout"
 	"github.com/sycamorecourse/sycamorecourse/serving/roster"
 	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
@@ -148,11 +149,21 @@
 		reportsUsage:    s.ReportsUsage && s.CloudAddress != "",
 		ordersUpstreams: s.OrdersUpstreams && s.CloudAddress != "",
 		planner:         scale.NewPlanner(),
+		rolloutPlanner:  rollout.Planner{Exposure: rolloutExposure(s)},
 		drainingAt:      make(map[roster.Incarnation]clock.Instant),
 		lease:           lease.New(leaseName, config, lease.Holder{Instance: s.Instance, Incarnation: incarnation}),
 	}
 }
 
+// rolloutExposure returns the part of the requests that may go to a version that proves
+// to be worse.
+func rolloutExposure(s *boot.Settings) float64 {
+	if s.RolloutExposure <= 0 {
+		return defaultExposure
+	}
+	return min(s.RolloutExposure, 1)
+}
+
 func (e *Entry) registerSources() {
 	for _, stats := range []func() ring.Stats{
 		e.dispatch.inbox.Stats, e.cluster.inbox.Stats, e.watch.inbox.Stats, e.directory.inbox.Stats,
--- a/daemon/entry/request_stats.go
+++ b/daemon/entry/request_stats.go
@@ -4,6 +4,7 @@
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
+	"github.com/sycamorecourse/sycamorecourse/serving/rollout"
 	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 	"github.com/sycamorecourse/sycamorecourse/serving/usage"
 )
@@ -18,9 +19,13 @@
 	reserves  map[string]limit.Reserve
 	countedAt clock.Instant
 	// spent are the totals of what this process has used of the limits that it holds.
-	spent     map[string]float64
-	loads     map[string]scale.Load
-	readRates map[string]float64
+	spent map[string]float64
+	// rollouts are the newest known stages of roll-outs, and rolloutEvidence what this
+	// gateway has counted in them.
+	rollouts        []rollout.Stage
+	rolloutEvidence []rollout.Evidence
+	loads           map[string]scale.Load
+	readRates       map[string]float64
 	// evidence is what this gateway knows of prompt parts that may crash upstreams,
 	// with times of the monotonic clock, and isUrgent is set if the others should get
 	// it at once.
--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -14,6 +14,7 @@
 	"github.com/sycamorecourse/sycamorecourse/platform/served"
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
 	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
+	"github.com/sycamorecourse/sycamorecourse/serving/rollout"
 	"github.com/sycamorecourse/sycamorecourse/serving/roster"
 )
 
@@ -103,6 +104,10 @@
 	upstreamsChanged bool
 	// configChanged is set while dispatch lacks the current configuration.
 	configChanged bool
+	// rollouts are the orders of roll-outs, by service. rolloutsChanged is set while
+	// dispatch lacks them, and rolloutsUnplanned while the cluster duty does.
+	rollouts                           map[string]rollout.Order
+	rolloutsChanged, rolloutsUnplanned bool
 	// fleetChanged is set while the cluster duty lacks a change of either.
 	fleetChanged bool
 }
@@ -184,6 +189,7 @@
 		w.upstreamsChanged = false
 		w.fleetChanged = true
 	}
+	w.publishRollouts()
 	if w.fleetChanged && w.cluster.Offer(setFleet{catalog: w.config, upstreams: w.roster.List()}) == nil {
 		w.fleetChanged = false
 	}
--- a/daemon/entry/watch_apply.go
+++ b/daemon/entry/watch_apply.go
@@ -31,6 +31,7 @@
 	t.throttled = 0
 	if t.table == served.ConfigTable {
 		w.applyConfig(p)
+		w.applyRollouts(p, isList)
 		return true
 	}
 	w.applyUpstreams(p, isList, now)
--- a/proof/soak/world/upstream.go
+++ b/proof/soak/world/upstream.go
@@ -12,6 +12,8 @@
 	ID string
 	// Service is what it runs.
 	Service string
+	// Version is the version of its software.
+	Version string
 	// Replica is the stand-in.
 	Replica *replica.Replica
 	// Relay stands before it.
--- a/proof/soak/world/world.go
+++ b/proof/soak/world/world.go
@@ -24,6 +24,8 @@
 	Customer = "acme"
 	// Events is the number of events of a stream.
 	Events = 6
+	// FirstVersion is the version of the software of upstreams.
+	FirstVersion = "v1"
 	// CallService is the service that answers without a stream.
 	CallService = "app"
 	// routeTimeout is the usual timeout of routes.
@@ -125,9 +127,15 @@
 
 // AddUpstream starts an upstream and registers it.
 func (w *World) AddUpstream(service string) (*Upstream, error) {
+	return w.AddVersion(service, FirstVersion, 0)
+}
+
+// AddVersion starts an upstream with a version of its software, and registers it. If
+// failStatus is not 0, all its responses have that status.
+func (w *World) AddVersion(service, version string, failStatus int) (*Upstream, error) {
 	w.started++
-	u := &Upstream{ID: fmt.Sprintf("%s-%d", service, w.started), Service: service}
-	config := replica.Config{ID: u.ID, Address: "127.0.0.1:0", Delay: w.config.EventPause}
+	u := &Upstream{ID: fmt.Sprintf("%s-%d", service, w.started), Service: service, Version: version}
+	config := replica.Config{ID: u.ID, Address: "127.0.0.1:0", Delay: w.config.EventPause, FailStatus: failStatus}
 	if service == "llm" {
 		config.Events = Events
 	}
@@ -147,7 +155,7 @@
 // Register writes the entry of an upstream.
 func (w *World) Register(u *Upstream, state operator.UpstreamState) error {
 	entry := operator.Upstream{
-		ID: u.ID, Service: u.Service, Address: u.Relay.Address(), FailureDomain: "z", Slots: 8, State: state, Sequence: 1,
+		ID: u.ID, Service: u.Service, Address: u.Relay.Address(), FailureDomain: "z", Slots: 8, State: state, Version: u.Version, Sequence: 1,
 	}
 	return w.write(entry.Write)
 }
@@ -173,6 +181,20 @@
 	return Posted(w.Store, func() { operator.RemoveUpstream(w.Store, u.ID) })
 }
 
+// Order writes the order of a roll-out.
+func (w *World) Order(r operator.Rollout) error { return w.write(r.Write) }
+
+// RolloutState returns the state that the system has written for the roll-out of a
+// service.
+func (w *World) RolloutState(service string) (string, error) {
+	var state string
+	var failed error
+	if err := Posted(w.Store, func() { state, failed = operator.RolloutState(w.Store, service) }); err != nil {
+		return "", err
+	}
+	return state, failed
+}
+
 // SetCredentials sets the keys of the customer from the next configuration on.
 func (w *World) SetCredentials(list ...string) { w.credentials = list }
 
--- a/serving/catalog/upstream.go
+++ b/serving/catalog/upstream.go
@@ -16,6 +16,10 @@
 	Draining bool
 	// Reclaimable is true if the provider may take the instance away.
 	Reclaimable bool
+	// Version is the version of its software; empty if unknown.
+	Version string
+	// IsCold is true while the upstream is slow after its start.
+	IsCold bool
 	// StartedAtMillis is the start time in Unix milliseconds; 0 if unknown. A later
 	// time under the same ID means that the process has restarted and lost its
 	// state.
--- a/serving/cluster/record.go
+++ b/serving/cluster/record.go
@@ -5,6 +5,7 @@
 
 	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
+	"github.com/sycamorecourse/sycamorecourse/serving/rollout"
 	"github.com/sycamorecourse/sycamorecourse/serving/roster"
 	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 )
@@ -48,6 +49,10 @@
 	// CountedAt is the writer's estimate of the store's clock when it counted Used and
 	// Reserves, or 0 if it had none.
 	CountedAt time.Duration `cbor:"20,keyasint,omitempty"`
+	// Rollouts are the newest stages of roll-outs that the gateway knows, and
+	// RolloutEvidence what it has counted in them.
+	Rollouts        []rollout.Stage    `cbor:"21,keyasint,omitempty"`
+	RolloutEvidence []rollout.Evidence `cbor:"22,keyasint,omitempty"`
 	// Age and CountAge are the times from the write, and from CountedAt, to the read, by
 	// the store's clock. The reader sets them; they are not stored.
 	Age      time.Duration `cbor:"-"`
--- a/serving/cluster/view.go
+++ b/serving/cluster/view.go
@@ -1,12 +1,14 @@
 package cluster
 
 import (
+	"slices"
 	"sort"
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
+	"github.com/sycamorecourse/sycamorecourse/serving/rollout"
 	"github.com/sycamorecourse/sycamorecourse/serving/scale"
 )
 
@@ -166,6 +168,33 @@
 	return sum
 }
 
+// Rollouts returns the stages of roll-outs that the gateways have published, dead ones
+// included, and what the others have counted in them.
+func (v *View) Rollouts(self string) ([]rollout.Stage, []rollout.Evidence) {
+	var stages []rollout.Stage
+	var evidence []rollout.Evidence
+	for name, p := range v.peers {
+		stages = append(stages, p.record.Rollouts...)
+		if name != self {
+			evidence = append(evidence, v.rolloutEvidence(p)...)
+		}
+	}
+	return stages, evidence
+}
+
+// rolloutEvidence returns what a gateway has counted in roll-outs. One that has died has
+// no request in progress any more.
+func (v *View) rolloutEvidence(p *peer) []rollout.Evidence {
+	if v.isLive(p) {
+		return p.record.RolloutEvidence
+	}
+	list := slices.Clone(p.record.RolloutEvidence)
+	for i := range list {
+		list[i].OpenOld = 0
+	}
+	return list
+}
+
 // Evidence returns what all gateways, dead ones included, have published of prompt
 // parts that may crash upstreams.
 func (v *View) Evidence() []quarantine.Evidence {
--- a/serving/relay/core.go
+++ b/serving/relay/core.go
@@ -8,6 +8,7 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
 	"github.com/sycamorecourse/sycamorecourse/serving/limit"
 	"github.com/sycamorecourse/sycamorecourse/serving/quarantine"
+	"github.com/sycamorecourse/sycamorecourse/serving/rollout"
 )
 
 // Core is the state machine of all requests of one gateway. Its methods must be
@@ -20,6 +21,8 @@
 	timers   timers
 	// limits are the customers' limits.
 	limits *limit.Table
+	// rollouts divides requests between versions of a service.
+	rollouts *rollout.Tracker
 	// quarantine finds the prompt parts that crash upstreams.
 	quarantine *quarantine.Tracker
 	gateways   int
@@ -61,6 +64,7 @@
 		}),
 		gateways:   gateways,
 		quarantine: quarantine.NewTracker(),
+		rollouts:   rollout.NewTracker(),
 	}
 }
 
--- a/serving/relay/core_done.go
+++ b/serving/relay/core_done.go
@@ -34,6 +34,7 @@
 	a := s.attempt
 	hadEvent := a.hasEvent
 	c.recordFirstEvent(s, a, now)
+	c.recordOutcome(s, false)
 	c.endAttempt(s)
 	c.counts.Answered++
 	if !s.abandoned {
@@ -52,6 +53,8 @@
 	a := s.attempt
 	isError := a.head.Status >= 500
 	s.mayHaveRun = true
+	s.firstEventTook = now.Sub(a.sent)
+	c.recordOutcome(s, isError)
 	c.recordRun(s, now)
 	if !isStream(s.route) {
 		c.recordLatency(s.pool, a, now)
--- a/serving/relay/core_end.go
+++ b/serving/relay/core_end.go
@@ -33,6 +33,10 @@
 	if a := s.attempt; a != nil {
 		s.mayHaveRun = true
 		c.emit(Cancel{Ref: a.ref})
+		if !a.hasEvent {
+			s.firstEventTook = now.Sub(a.sent)
+			c.recordOutcome(s, true)
+		}
 		if now.Sub(a.lastActivity) >= s.deadline.Sub(s.arrived)/2 {
 			s.pool.health.Failed(&a.member.record, now)
 		}
--- a/serving/relay/core_failed.go
+++ b/serving/relay/core_failed.go
@@ -44,6 +44,10 @@
 	s.pool.health.Failed(&s.attempt.member.record, now)
 	c.logBroken(s, f.Disconnected)
 	c.recordCrash(s, f, now)
+	// A prompt that crashes every upstream says nothing of a version.
+	if !c.isQuarantined(s, now) {
+		c.recordOutcome(s, true)
+	}
 	if !c.mayRepeatAfter(s, f) || !c.retry(s, f.Detail, now) {
 		c.endAttempt(s)
 		c.fail(s, Broken, now)
@@ -57,6 +61,8 @@
 	a := s.attempt
 	a.retryAt = 0
 	ref, m := a.ref, a.member
+	s.firstEventTook = now.Sub(a.sent)
+	c.recordOutcome(s, false)
 	if other, _ := c.chooseUpstream(s, now); other == nil {
 		return
 	}
--- a/serving/relay/core_place.go
+++ b/serving/relay/core_place.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/serving/rollout"
 )
 
 const (
@@ -58,11 +59,12 @@
 // the first event; nil if there is none. Ties go to the lowest hash of the ID.
 func (c *Core) chooseUpstream(s *requestState, now clock.Instant) (*member, prediction) {
 	keys := prefixKeys(s.request.Prompt)
-	preferred := c.preferredUpstream(s, keys, now)
+	versions := c.versions(s, now)
+	preferred := c.preferredUpstream(s, keys, versions, now)
 	var best *member
 	var bestPrediction prediction
 	for _, m := range s.pool.list {
-		if !c.isEligible(s, m, now) {
+		if !versions.Allows(m.upstream.Version) || !c.isEligible(s, m, now) {
 			continue
 		}
 		p := c.predict(s, m, keys, m == preferred, now)
@@ -79,7 +81,7 @@
 //
 // On-demand and reclaimable upstreams rank alike. If on-demand ones came first,
 // they would read all prompts as long as no upstream has anything cached.
-func (c *Core) preferredUpstream(s *requestState, keys []uint64, now clock.Instant) *member {
+func (c *Core) preferredUpstream(s *requestState, keys []uint64, versions rollout.Filter, now clock.Instant) *member {
 	key := hashOf(s.request.ID)
 	switch {
 	case len(keys) > 1:
@@ -89,7 +91,8 @@
 	}
 	var best *member
 	for _, m := range s.pool.list {
-		if c.isEligible(s, m, now) && (best == nil || m.rendezvousScore(key) > best.rendezvousScore(key)) {
+		isUsable := versions.Allows(m.upstream.Version) && c.isEligible(s, m, now)
+		if isUsable && (best == nil || m.rendezvousScore(key) > best.rendezvousScore(key)) {
 			best = m
 		}
 	}
@@ -173,6 +176,7 @@
 	s.possibleRuns++
 	s.tried = append(s.tried, m)
 	s.upstream = m.upstream.ID
+	s.firstEventTook = 0
 	s.predicted = p
 	s.attempt = &attempt{ref: s.ref(), member: m, sent: now, lastActivity: now, predicted: p, resumes: s.streamStarted}
 	m.open++
--- a/serving/relay/core_response.go
+++ b/serving/relay/core_response.go
@@ -100,6 +100,7 @@
 		return
 	}
 	a.hasEvent = true
+	s.firstEventTook = now.Sub(a.sent)
 	a.member.prefillTokens -= a.predicted.uncached
 	a.member.queueDelays[a.priority].dequeue(a)
 	c.recordRun(s, now)
--- a/serving/relay/member_snapshot.go
+++ b/serving/relay/member_snapshot.go
@@ -5,6 +5,7 @@
 	ID            string  `json:"id"`
 	Service       string  `json:"service"`
 	Address       string  `json:"address"`
+	Version       string  `json:"version"`
 	Open          int     `json:"open"`
 	PrefillTokens int     `json:"reading_tokens"`
 	Weight        float64 `json:"weight"`
--- a/serving/relay/request_state.go
+++ b/serving/relay/request_state.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
 	"github.com/sycamorecourse/sycamorecourse/serving/limit"
@@ -31,6 +33,9 @@
 	detail        string
 	upstream      string
 	predicted     prediction
+	// firstEventTook is the time from the last send to the first event or the complete
+	// response; 0 if there was none.
+	firstEventTook time.Duration
 
 	// asked are the gateways that were asked whether the customer's limit admits the
 	// request, and isAsking is true until the last one has answered.
--- a/serving/relay/snapshot.go
+++ b/serving/relay/snapshot.go
@@ -5,6 +5,7 @@
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/serving/limit"
+	"github.com/sycamorecourse/sycamorecourse/serving/rollout"
 )
 
 // Snapshot is the state of a Core for debugging.
@@ -18,6 +19,10 @@
 	Members         []MemberSnapshot `json:"upstreams"`
 	// Limits are the states of the customers' limits.
 	Limits map[string]limit.Facts `json:"limits"`
+	// Rollouts are the stages of the roll-outs in force, and RolloutEvidence what this
+	// gateway has counted in them.
+	Rollouts        []rollout.Stage    `json:"rollouts,omitempty"`
+	RolloutEvidence []rollout.Evidence `json:"rollout_evidence,omitempty"`
 	// Quarantined holds the time left of the quarantine of each prompt part.
 	Quarantined map[uint64]time.Duration `json:"quarantined_ns"`
 }
@@ -32,6 +37,8 @@
 		Counts:          c.counts,
 		Quarantined:     c.quarantine.Quarantined(now),
 		Limits:          c.limits.Facts(now),
+		Rollouts:        c.RolloutStages(),
+		RolloutEvidence: c.RolloutEvidence(),
 	}
 	if c.catalog != nil {
 		s.ConfigVersion = c.catalog.Version
@@ -42,6 +49,7 @@
 				ID:            m.upstream.ID,
 				Service:       p.service,
 				Address:       m.upstream.Address,
+				Version:       m.upstream.Version,
 				Open:          m.open,
 				PrefillTokens: m.prefillTokens,
 				Weight:        p.health.Weight(&m.record, now),
--- a/standin/operator/upstream.go
+++ b/standin/operator/upstream.go
@@ -23,6 +23,8 @@
 	Slots int `json:"slots"`
 	// State is whether it accepts new requests.
 	State UpstreamState `json:"state"`
+	// Version is the version of its software; empty is left out.
+	Version string `json:"version,omitempty"`
 	// Sequence increases with each write under the same ID.
 	Sequence int `json:"sequence"`
 }
