--- a/daemon/entry/coordinator_records.go
+++ b/daemon/entry/coordinator_records.go
@@ -69,7 +69,8 @@
 		return
 	}
 	c.updateRecord(now)
-	offerOrLog(c.peers, peerMessage(setOwnRecord{record: c.record, isUrgent: isUrgent}), c.log)
+	needsCounts := c.holdsLease || c.view.IsCandidate(c.record.Instance, leaseCandidates)
+	offerOrLog(c.peers, peerMessage(setOwnRecord{record: c.record, isUrgent: isUrgent, needsCounts: needsCounts}), c.log)
 }
 
 // hasNews reports whether hubs keep this gateway informed.
--- a/daemon/entry/peers.go
+++ b/daemon/entry/peers.go
@@ -27,10 +27,12 @@
 
 	containment containment
 
-	own     cluster.Record
-	plan    *exchange.Plan
-	records *exchange.RecordLog
-	tables  map[string]*exchange.TableCopy
+	own cluster.Record
+	// needsCounts is set if this gateway may have to report usage.
+	needsCounts bool
+	plan        *exchange.Plan
+	records     *exchange.RecordLog
+	tables      map[string]*exchange.TableCopy
 	// positions holds, by hub, the last news from it.
 	positions map[string]exchange.News
 	// forwarded is the position in records up to which the cluster duty has them.
@@ -88,8 +90,12 @@
 	case tableRead:
 		p.handleTable(m)
 	case setOwnRecord:
-		p.own = m.record
-		p.records.Put(m.record)
+		if m.needsCounts && !p.needsCounts {
+			// Hubs send all records anew, with the counts that they have left out.
+			clear(p.positions)
+		}
+		p.own, p.needsCounts = m.record, m.needsCounts
+		p.records.PutFirstHand(m.record)
 		if m.isUrgent {
 			p.pollAt = now
 		}
@@ -117,7 +123,9 @@
 		return
 	}
 	last := p.positions[hub.Instance]
-	request := exchange.Poll{Record: p.own, Hub: last.Hub, Position: last.Position}
+	request := exchange.Poll{
+		Record: p.own, Hub: last.Hub, Position: last.Position, IsHub: p.plan.IsHub(), NeedsCounts: p.needsCounts || p.plan.IsHub(),
+	}
 	if !p.plan.IsHub() {
 		request.Versions = p.versions()
 	}
@@ -210,13 +218,13 @@
 		return
 	}
 	p.answered++
-	p.records.Put(request.Record)
+	p.records.PutFirstHand(request.Record)
 	news := exchange.News{Hub: p.own.Incarnation, Clock: p.storeClock.Now(now)}
 	position := request.Position
 	if request.Hub != news.Hub {
 		position = 0
 	}
-	news.Records, news.Position = p.records.Since(position)
+	news.Records, news.Position = p.recordsFor(request, position)
 	for name, version := range request.Versions {
 		if t := p.tables[name]; t != nil {
 			news.Tables = append(news.Tables, t.Since(version, now))
@@ -231,6 +239,21 @@
 	p.reply(m, http.StatusOK, body)
 }
 
+// recordsFor returns the records that a gateway lacks since a position, and the position
+// of the last one.
+func (p *peers) recordsFor(request exchange.Poll, position uint64) ([]cluster.Record, uint64) {
+	if request.IsHub {
+		return p.records.FirstHandSince(position)
+	}
+	list, last := p.records.Since(position)
+	if !request.NeedsCounts {
+		for i := range list {
+			list[i].Windows = nil
+		}
+	}
+	return list, last
+}
+
 func (p *peers) reply(m pollReceived, status int, body []byte) {
 	if err := m.exchange.Reply(status, http.Header{"Content-Type": {cborType}}, body); err != nil {
 		p.log.Debug().Str("peer", m.exchange.Remote).Str("cause", err.Error()).Msg("peer_gone")
--- a/daemon/entry/set_own_record.go
+++ b/daemon/entry/set_own_record.go
@@ -7,6 +7,8 @@
 type setOwnRecord struct {
 	record   cluster.Record
 	isUrgent bool
+	// needsCounts is set if this gateway may have to report usage.
+	needsCounts bool
 }
 
 func (setOwnRecord) isPeerMessage() {}
--- a/serving/cluster/view.go
+++ b/serving/cluster/view.go
@@ -19,6 +19,8 @@
 	shareTimeout time.Duration
 	peers        map[string]*peer
 	lastRead     clock.Instant // 0 before the first read
+	// spread is the time in which records reach this gateway: the longest of late.
+	spread time.Duration
 }
 
 // NewView makes an empty view. A gateway is live until liveTimeout after the last
@@ -26,7 +28,7 @@
 // after the record was last seen to change. That is longer, since the gateway may
 // still be serving without access to the store.
 func NewView(liveTimeout, shareTimeout time.Duration) *View {
-	return &View{liveTimeout: liveTimeout, shareTimeout: shareTimeout, peers: make(map[string]*peer)}
+	return &View{liveTimeout: liveTimeout, shareTimeout: shareTimeout, peers: make(map[string]*peer), spread: minSpread}
 }
 
 // SetTimeouts replaces the timeouts given to NewView.
@@ -52,6 +54,7 @@
 	for _, record := range records {
 		anyRecent = anyRecent || record.Age < v.liveTimeout/2
 	}
+	v.spread = max(time.Duration(spreadDecay*float64(v.spread)), minSpread)
 	seen := make(map[string]bool, len(records))
 	for _, record := range records {
 		seen[record.Instance] = true
@@ -69,7 +72,8 @@
 		p.record = record
 		if !isNew && (previous.Sequence != record.Sequence || previous.Incarnation != record.Incarnation) {
 			p.changedAt, p.publishedAt = now, publishedAt(record, now)
-			p.countedAt = now.Add(-min(record.CountAge, maxRecordDelay))
+			p.countedAt = now.Add(-min(record.CountAge, maxSpread))
+			v.spread = min(max(v.spread, record.CountAge), maxSpread)
 			// The record changed, so it was written after the previous read.
 			p.writtenAt = max(now.Add(-record.Age), previousRead)
 		}
@@ -260,7 +264,6 @@
 // part, since the others may have taken it over, but not to zero: usually the
 // store is unavailable to all gateways, and they keep the former division.
 func (v *View) Divide(self string, now clock.Instant) Division {
-	currentFor := time.Duration(currentFraction * float64(v.liveTimeout))
 	d := Division{Stale: v.IsStale(now)}
 	for _, p := range v.peers {
 		if v.holdsShare(p) {
@@ -270,7 +273,9 @@
 	d.Gateways = max(d.Gateways, 1)
 	share := 1 / float64(d.Gateways)
 	// A gateway that has not published anything yet will be ready with its first record.
-	d.Limits = limit.Division{Instance: self, IsReady: v.peers[self] == nil, Share: share, CurrentUntil: v.lastRead.Add(currentFor), CurrentFor: currentFor}
+	d.Limits = limit.Division{Instance: self, IsReady: v.peers[self] == nil, Share: share, Spread: v.spread}
+	d.Limits.CurrentFor = max(time.Duration(currentFraction*float64(v.liveTimeout)), d.Limits.Spread+maxReadInterval)
+	d.Limits.CurrentUntil = v.lastRead.Add(d.Limits.CurrentFor)
 	if d.Stale {
 		d.Limits.Share *= staleShareFactor
 		d.Gateways = int(float64(d.Gateways) / staleShareFactor)
@@ -309,6 +314,13 @@
 }
 
 const (
+	// minSpread and maxSpread bound the time in which a record is taken to reach all
+	// gateways, and spreadDecay is the part of it that is kept from one read to the next.
+	minSpread   = 500 * time.Millisecond
+	maxSpread   = 4 * time.Second
+	spreadDecay = 0.9
+	// maxReadInterval is the usual time between two reads of the records.
+	maxReadInterval = time.Second
 	// currentFraction is the fraction of the live timeout for which the use and demand
 	// of the other gateways are current after a read. It exceeds the time between two
 	// reads.
--- a/serving/exchange/exchange_test.go
+++ b/serving/exchange/exchange_test.go
@@ -299,3 +299,36 @@
 		_, _ = exchange.DecodeNews(body)
 	})
 }
+
+var _ = Describe("RecordLog between hubs", func() {
+	record := func(name string, sequence uint64, counts uint64) cluster.Record {
+		r := cluster.Record{Instance: name, Incarnation: 1, Sequence: sequence}
+		if counts > 0 {
+			r.Windows = map[int64]map[string]uint64{7: {"x": counts}}
+		}
+		return r
+	}
+
+	It("tells apart what came from the gateways themselves, so that no record passes two hubs", func() {
+		l := exchange.NewRecordLog()
+		l.PutFirstHand(record("a", 1, 0))
+		l.Put(record("b", 1, 0))
+		list, last := l.FirstHandSince(0)
+		Expect(list).To(HaveLen(1))
+		Expect(list[0].Instance).To(Equal("a"))
+		l.PutFirstHand(record("b", 2, 0))
+		list, _ = l.FirstHandSince(last)
+		Expect(list).To(HaveLen(1))
+		Expect(list[0].Instance).To(Equal("b"))
+		all, _ := l.Since(0)
+		Expect(all).To(HaveLen(2))
+	})
+
+	It("takes the counts of a record that it has without them, but gives none up", func() {
+		l := exchange.NewRecordLog()
+		l.Put(record("a", 3, 0))
+		Expect(l.Put(record("a", 3, 5))).To(BeTrue())
+		Expect(l.Put(record("a", 3, 0))).To(BeFalse())
+		Expect(l.All(0)[0].Windows[7]["x"]).To(Equal(uint64(5)))
+	})
+})
--- a/serving/exchange/logged_record.go
+++ b/serving/exchange/logged_record.go
@@ -6,4 +6,6 @@
 type loggedRecord struct {
 	record   cluster.Record
 	position uint64
+	// isFirstHand is true if it came from the gateway itself.
+	isFirstHand bool
 }
--- a/serving/exchange/poll.go
+++ b/serving/exchange/poll.go
@@ -12,4 +12,10 @@
 	// Versions are the versions of the tables of which it wants news; none if it
 	// follows the store itself.
 	Versions map[string]uint64 `cbor:"4,keyasint,omitempty"`
+	// IsHub is set if it is a hub itself: it gets only the records that have not passed
+	// another hub.
+	IsHub bool `cbor:"5,keyasint,omitempty"`
+	// NeedsCounts is set if it may have to report usage. The others get the records
+	// without the counts of requests.
+	NeedsCounts bool `cbor:"6,keyasint,omitempty"`
 }
--- a/serving/exchange/record_log.go
+++ b/serving/exchange/record_log.go
@@ -21,19 +21,30 @@
 // Put adds a record. It reports false and changes nothing if the log holds that
 // record or a newer one of the same gateway.
 func (l *RecordLog) Put(r cluster.Record) bool {
+	return l.put(r, false)
+}
+
+// PutFirstHand adds a record that came from the gateway itself.
+func (l *RecordLog) PutFirstHand(r cluster.Record) bool {
+	return l.put(r, true)
+}
+
+func (l *RecordLog) put(r cluster.Record, isFirstHand bool) bool {
 	if known, ok := l.records[r.Instance]; ok && !isNewer(r, known.record) {
 		return false
 	}
 	l.last++
-	l.records[r.Instance] = loggedRecord{record: r, position: l.last}
+	l.records[r.Instance] = loggedRecord{record: r, position: l.last, isFirstHand: isFirstHand}
 	return true
 }
 
 // isNewer reports whether a record was written after another one of the same
-// gateway. Incarnations are not ordered, since they come from wall clocks.
+// gateway, or is the same with the counts that the other lacks. Incarnations are not
+// ordered, since they come from wall clocks.
 func isNewer(r, than cluster.Record) bool {
 	if r.Incarnation == than.Incarnation {
-		return r.Sequence > than.Sequence
+		hasCounts := r.Sequence == than.Sequence && than.Windows == nil && r.Windows != nil
+		return r.Sequence > than.Sequence || hasCounts
 	}
 	return r.WrittenAt > than.WrittenAt
 }
@@ -50,6 +61,17 @@
 	return list, l.last
 }
 
+// FirstHandSince returns those of them that came from the gateways themselves.
+func (l *RecordLog) FirstHandSince(position uint64) ([]cluster.Record, uint64) {
+	var list []cluster.Record
+	for _, logged := range l.records {
+		if logged.position > position && logged.isFirstHand {
+			list = append(list, logged.record)
+		}
+	}
+	return list, l.last
+}
+
 // All returns all records, with their ages at an instant of the store's clock.
 func (l *RecordLog) All(storeClock time.Duration) []cluster.Record {
 	list := make([]cluster.Record, 0, len(l.records))
--- a/serving/limit/announcement.go
+++ b/serving/limit/announcement.go
@@ -1,6 +1,10 @@
 package limit
 
-import "github.com/sycamorecourse/sycamorecourse/coord/clock"
+import (
+	"time"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+)
 
 // announcement is what this gateway has published that it may use of a limit: a
 // reserve at once, and more at a pace.
@@ -13,7 +17,7 @@
 }
 
 // left returns what may still be used under the announcement, given the total of what
-// has been used.
-func (a announcement) left(spent float64, now clock.Instant) float64 {
-	return a.reserve + a.pace*min(now.Sub(a.at), announcementTime+announcementInterval).Seconds() - (spent - a.spent)
+// has been used. It holds for a limited time.
+func (a announcement) left(spent float64, now clock.Instant, limit time.Duration) float64 {
+	return a.reserve + a.pace*min(now.Sub(a.at), limit).Seconds() - (spent - a.spent)
 }
--- a/serving/limit/division.go
+++ b/serving/limit/division.go
@@ -20,4 +20,12 @@
 	// go by, and CurrentFor the time for which it is current after it was read.
 	CurrentUntil clock.Instant
 	CurrentFor   time.Duration
+	// Spread is the time in which what a gateway publishes reaches all others.
+	Spread time.Duration
+}
+
+// announcementTime returns the time for which some gateway may go by an announcement
+// after a newer one.
+func (d Division) announcementTime() time.Duration {
+	return max(d.CurrentFor+d.Spread, minAnnouncementTime)
 }
--- a/serving/limit/limiter.go
+++ b/serving/limit/limiter.go
@@ -9,17 +9,14 @@
 )
 
 const (
-	// announcementTime is the time for which some gateway may go by an announcement
-	// after a newer one: news is current for at most 2.5 s, and takes up to 1.1 s to
-	// reach a gateway.
-	announcementTime = 3600 * time.Millisecond
-	// maxNewsTime is the longest time for which news of the other gateways is current.
-	maxNewsTime = 2520 * time.Millisecond
-	// paceTime is the time after its last announcement for which a gateway may go on at
-	// its pace.
-	paceTime = announcementTime
+	// minAnnouncementTime is the least time for which some gateway may go by an
+	// announcement after a newer one, and for which a gateway goes on at its pace after its
+	// last one.
+	minAnnouncementTime = 3600 * time.Millisecond
 	// announcementInterval is the longest time between two announcements.
 	announcementInterval = 1800 * time.Millisecond
+	// minNewsTime is the least time for which news of the other gateways is current.
+	minNewsTime = 2520 * time.Millisecond
 	// clockError is the most by which two gateways' clocks of the store differ.
 	clockError = 200 * time.Millisecond
 	// paceFactor is the pace over the present use. minPace and maxPace bound it for all
@@ -61,8 +58,11 @@
 	spent float64
 	// largest is the largest amount that a request of the customer asked for.
 	largest float64
-	// announcements are those of the last announcementTime, the oldest first.
-	announcements []announcement
+	// announcements are those of the last announcementTime, the oldest first. That is the
+	// time for which some gateway may go by one after a newer one, and newsTime the time
+	// for which what is known of the others is current.
+	announcements              []announcement
+	announcementTime, newsTime time.Duration
 	// restart bounds what may be used before the store has a newer record.
 	restart restartBound
 	others  others
@@ -88,7 +88,9 @@
 		standbyUse: newWindow(config.Window, now),
 		standby:    bucket{at: now},
 		// Until this process has announced something, the others expect nothing.
-		announcements: []announcement{{at: now}},
+		announcements:    []announcement{{at: now}},
+		announcementTime: minAnnouncementTime,
+		newsTime:         minNewsTime,
 	}
 	return l
 }
@@ -105,8 +107,8 @@
 func (l *limiter) available(now clock.Instant) float64 {
 	least := math.Inf(1)
 	for i, a := range l.announcements {
-		if i+1 == len(l.announcements) || now.Sub(l.announcements[i+1].at) < announcementTime {
-			least = min(least, a.left(l.spent, now))
+		if i+1 == len(l.announcements) || now.Sub(l.announcements[i+1].at) < l.announcementTime {
+			least = min(least, a.left(l.spent, now, l.announcementTime+announcementInterval))
 		}
 	}
 	if l.restart.isInForce(now) {
@@ -129,9 +131,9 @@
 			continue
 		}
 		if i+1 == len(l.announcements) {
-			return a.at.Add(announcementTime)
+			return a.at.Add(l.announcementTime)
 		}
-		from = l.announcements[i+1].at.Add(announcementTime)
+		from = l.announcements[i+1].at.Add(l.announcementTime)
 	}
 	return from
 }
@@ -152,7 +154,7 @@
 // admitStandby decides on an amount while this gateway does not know what the others
 // use: it has its share of what is left of the limit by what they last published.
 func (l *limiter) admitStandby(amount, share float64, now clock.Instant) Decision {
-	known := l.window.sum - l.standbyUse.sum + l.others.atStandby(now, l.window.length)
+	known := l.window.sum - l.standbyUse.sum + l.others.atStandby(now, l.window.length, l.newsTime)
 	left := share*max(l.terms.ceiling-known, 0) - l.standbyUse.sum
 	// A bucket that is smaller than the request may be overdrawn when it is full.
 	if needed := min(amount, l.standby.size); l.standby.level < needed {
@@ -208,7 +210,7 @@
 	return Reserve{
 		Amount:   last.reserve,
 		Pace:     last.pace,
-		ActiveIn: max(l.activeFrom().Sub(now), -paceTime),
+		ActiveIn: max(l.activeFrom().Sub(now), -l.announcementTime),
 		Restart:  l.restartReserve(),
 	}
 }
@@ -237,7 +239,7 @@
 	for i, old := range l.announcements {
 		// An announcement may be the newest that some gateway knows until the next one has
 		// reached all.
-		if i+1 == len(l.announcements) || now.Sub(l.announcements[i+1].at) < announcementTime {
+		if i+1 == len(l.announcements) || now.Sub(l.announcements[i+1].at) < l.announcementTime {
 			kept = append(kept, old)
 		}
 	}
@@ -255,7 +257,7 @@
 	if age < restartTime {
 		l.window.add(reserve.Restart, 0)
 	} else {
-		l.window.add(reserve.after(age), 0)
+		l.window.add(reserve.after(age, l.announcementTime), 0)
 	}
 	l.announcements = []announcement{{at: now, spent: l.spent, pace: reserve.Pace}}
 }
--- a/serving/limit/others.go
+++ b/serving/limit/others.go
@@ -33,12 +33,12 @@
 // atStandby returns the bound of what they have used apart from their shares, at a
 // gateway that does not hear of them any more: they went on as holders until they did not
 // hear of the others either.
-func (o others) atStandby(now clock.Instant, window time.Duration) float64 {
+func (o others) atStandby(now clock.Instant, window, newsTime time.Duration) float64 {
 	passed := max(now.Sub(o.at), 0)
-	if passed >= window+maxNewsTime {
+	if passed >= window+newsTime {
 		return 0
 	}
-	return o.used.after(passed, window) + o.unknown + o.growth*min(passed, maxNewsTime).Seconds()
+	return o.used.after(passed, window) + o.unknown + o.growth*min(passed, newsTime).Seconds()
 }
 
 // add adds what is known of a peer. A peer whose news is not current any more may use
@@ -50,15 +50,15 @@
 		o.used.add(use.shifted(age-clockError, window))
 	}
 	reserve, isHolder := p.Reserves[customer]
-	if isHolder && reserve.isValid() && age < window+paceTime {
+	if isHolder && reserve.isValid() && age < window+l.announcementTime {
 		activeFrom := p.CountedAt.Add(reserve.ActiveIn)
-		if age < paceTime {
+		if age < l.announcementTime {
 			o.holders.add(activeFrom)
 		}
 		// Nothing is used of a reserve that is not active yet.
 		if o.at.Add(newsDelay).After(activeFrom) {
-			o.unknown += reserve.after(age)
-			if age < paceTime {
+			o.unknown += reserve.after(age, l.announcementTime)
+			if age < l.announcementTime {
 				o.growth += reserve.Pace
 			}
 		}
--- a/serving/limit/reserve.go
+++ b/serving/limit/reserve.go
@@ -15,9 +15,10 @@
 	Restart float64 `cbor:"4,keyasint,omitempty"`
 }
 
-// after returns what may have been used some time after the reserve was counted.
-func (r Reserve) after(age time.Duration) float64 {
-	return r.Amount + r.Pace*min(age, paceTime).Seconds()
+// after returns what may have been used some time after the reserve was counted, if the
+// pace goes on for a limited time.
+func (r Reserve) after(age, limit time.Duration) float64 {
+	return r.Amount + r.Pace*min(age, limit).Seconds()
 }
 
 // isValid reports whether the reserve could be that of a gateway.
--- a/serving/limit/table.go
+++ b/serving/limit/table.go
@@ -110,6 +110,8 @@
 // divideOne sums up what is known of the use of one limit by the other gateways, and
 // finds its holders.
 func (t *Table) divideOne(l *limiter, now clock.Instant) {
+	l.announcementTime = t.division.announcementTime()
+	l.newsTime = max(t.division.CurrentFor, minNewsTime)
 	l.others = others{at: now}
 	for _, p := range t.division.Peers {
 		l.others.add(t.newest(p, l.name), l, t.division)
