rollout: a completed roll-out leaves versions alone that come later

Cause: found when reading the diff: after a completed roll-out everything but its version was left out for as long as the order stood in the store, so that the next release without an order would have got no request.

Change: the last stage names the versions that there were; only these are left out.

--- a/daemon/entry/coordinator_rollouts.go
+++ b/daemon/entry/coordinator_rollouts.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -78,6 +79,9 @@
 			capacity.New += u.Slots
 		default:
 			capacity.Old += u.Slots
+			if !slices.Contains(capacity.OldVersions, u.Version) {
+				capacity.OldVersions = append(capacity.OldVersions, u.Version)
+			}
 		}
 	}
 	return capacity
--- a/serving/relay/rollout_test.go
+++ b/serving/relay/rollout_test.go
@@ -16,7 +16,7 @@
 	var h *harness
 	order := rollout.Order{Service: "s", To: "v2", Duration: 10 * time.Second, Revision: 3}
 	stage := func(sequence uint64, state rollout.State, share float64) {
-		h.core.HearRollouts([]rollout.Stage{{Service: "s", To: "v2", Revision: 3, Sequence: sequence, State: state, Share: share}}, nil)
+		h.core.HearRollouts([]rollout.Stage{{Service: "s", To: "v2", Revision: 3, Sequence: sequence, State: state, Share: share, Former: []string{"v1"}}}, nil)
 	}
 	upstream := func(id, version string) *catalog.Upstream {
 		return &catalog.Upstream{ID: id, Service: "s", Slots: 100, Version: version}
--- a/serving/rollout/capacity.go
+++ b/serving/rollout/capacity.go
@@ -4,4 +4,6 @@
 type Capacity struct {
 	// New are those of the new version, and Old those of the others.
 	New, Old int
+	// OldVersions are the other versions.
+	OldVersions []string
 }
--- a/serving/rollout/planner.go
+++ b/serving/rollout/planner.go
@@ -51,7 +51,7 @@
 	case sum.IsWorse():
 		next.State, next.Share = RolledBack, 0
 	case present.Share >= 1 && (isDue || p.hasSettled(present, sum, now)):
-		next.State = Completed
+		next.State, next.Former = Completed, c.OldVersions
 	case isDue:
 		// Too little is known of the new version, or there is too little of it.
 		next.State, next.Share = RolledBack, 0
--- a/serving/rollout/rollout_test.go
+++ b/serving/rollout/rollout_test.go
@@ -297,8 +297,10 @@
 		capacity := rollout.Capacity{New: 5, Old: 5}
 		_, changed := planner.Next(order, all, rollout.Evidence{OpenOld: 1}, capacity, 9*time.Second)
 		Expect(changed).To(BeFalse())
+		capacity.OldVersions = []string{oldVersion}
 		next, _ := planner.Next(order, all, rollout.Evidence{}, capacity, 9*time.Second)
 		Expect(next.State).To(Equal(rollout.Completed))
+		Expect(next.Former).To(Equal([]string{oldVersion}))
 		next, _ = planner.Next(order, all, rollout.Evidence{OpenOld: 1}, capacity, 9600*time.Millisecond)
 		Expect(next.State).To(Equal(rollout.Completed))
 	})
@@ -326,11 +328,13 @@
 	})
 
 	It("uses only the new version once a roll-out is complete", func() {
-		t.SetStage(rollout.Stage{Service: service, To: newVersion, Revision: 7, Sequence: 3, State: rollout.Completed})
+		t.SetStage(rollout.Stage{Service: service, To: newVersion, Revision: 7, Sequence: 3, State: rollout.Completed, Former: []string{oldVersion}})
 		f := t.Filter(service, 1<<15)
 		Expect(f.Allows(newVersion)).To(BeTrue())
 		Expect(f.Allows(oldVersion)).To(BeFalse())
 		Expect(f.MayFallBack).To(BeFalse())
+		// A later release of the service is none of the roll-out's concern.
+		Expect(f.Allows("v3")).To(BeTrue())
 	})
 
 	It("stops by itself, for good, as soon as the version has proved worse", func() {
--- a/serving/rollout/stage.go
+++ b/serving/rollout/stage.go
@@ -16,6 +16,9 @@
 	// StartedAt is when the roll-out began, and StageAt this stage, by the store's clock.
 	StartedAt time.Duration `cbor:"7,keyasint"`
 	StageAt   time.Duration `cbor:"8,keyasint"`
+	// Former are the other versions that the service had when the roll-out was completed.
+	// Versions that come later are none of its concern.
+	Former []string `cbor:"9,keyasint,omitempty"`
 }
 
 // IsNewer reports whether the stage replaces another one of the same service. One that
--- a/serving/rollout/tracker.go
+++ b/serving/rollout/tracker.go
@@ -72,7 +72,7 @@
 	}
 	switch {
 	case s.State == Completed:
-		f.UsesNew = true
+		f.HasCompleted, f.Former = true, s.Former
 	case s.State == RolledBack || t.worse[service] == o.Revision:
 	default:
 		f.UsesNew = float64(hash%hashRange) < s.Share*hashRange
