Revert "exchange: heartbeats of upstreams are passed on to no gateway"

Its specs went with it. What is left to look at: each process reads all tables at its start and after all were killed, and the store's bytes are the largest price there.

--- a/daemon/entry/peers.go
+++ b/daemon/entry/peers.go
@@ -49,7 +49,7 @@
 func newPeers(instance, failureDomain string) *peers {
 	tables := make(map[string]*exchange.TableCopy)
 	for _, name := range []string{served.ConfigTable, served.UpstreamTable} {
-		tables[name] = newTableCopy(name)
+		tables[name] = exchange.NewTableCopy(name)
 	}
 	return &peers{
 		plan:      exchange.NewPlan(instance, failureDomain),
@@ -59,16 +59,6 @@
 	}
 }
 
-// newTableCopy makes a copy of a table. Heartbeats of upstreams are passed on to nobody:
-// they are most of the changes, and the store itself removes the entries without them.
-func newTableCopy(name string) *exchange.TableCopy {
-	t := exchange.NewTableCopy(name)
-	if name == served.UpstreamTable {
-		t.IgnoreChanges(served.IsSameUpstream)
-	}
-	return t
-}
-
 func (p *peers) run() error {
 	for {
 		now := p.clock.Now()
@@ -194,7 +184,7 @@
 		p.log.Warn().Str("cause", err.Error()).Msg("message_dropped")
 		// The next news has to repeat what was dropped.
 		for _, u := range current {
-			p.tables[u.Table] = newTableCopy(u.Table)
+			p.tables[u.Table] = exchange.NewTableCopy(u.Table)
 		}
 	}
 }
--- a/serving/exchange/exchange_test.go
+++ b/serving/exchange/exchange_test.go
@@ -332,25 +332,3 @@
 		Expect(l.All(0)[0].Windows[7]["x"]).To(Equal(uint64(5)))
 	})
 })
-
-var _ = Describe("TableCopy of a table with heartbeats", func() {
-	It("passes on what matters, once, and the version with it", func() {
-		t := exchange.NewTableCopy("t")
-		t.IgnoreChanges(func(a, b []byte) bool { return a[0] == b[0] })
-		apply := func(version uint64, full, removed bool, value string) {
-			e := exchange.Entry{Key: "k", Version: version, Removed: removed, Value: []byte(value)}
-			t.Apply(exchange.TableUpdate{Table: "t", Version: version, Full: full, Entries: []exchange.Entry{e}}, 0)
-		}
-		apply(1, true, false, "a1")
-		apply(2, false, false, "a2")
-		Expect(t.Version()).To(Equal(uint64(2)))
-		Expect(t.Since(1, 0).Entries).To(BeEmpty())
-		Expect(t.Since(0, 0).Entries).To(HaveLen(1))
-		apply(3, false, false, "b3")
-		Expect(t.Since(2, 0).Entries).To(HaveLen(1))
-		apply(4, false, true, "")
-		Expect(t.Since(3, 0).Entries).To(HaveLen(1))
-		apply(5, false, false, "b5")
-		Expect(t.Since(4, 0).Entries).To(HaveLen(1))
-	})
-})
--- a/serving/exchange/table_copy.go
+++ b/serving/exchange/table_copy.go
@@ -18,9 +18,6 @@
 	tombstones   int
 	confirmedAt  clock.Instant
 	available    bool
-	// isSame reports whether two values of a row are the same to all readers; nil if all
-	// differences matter.
-	isSame func(a, b []byte) bool
 }
 
 // NewTableCopy makes an empty copy of a table.
@@ -28,12 +25,6 @@
 	return &TableCopy{table: table, entries: make(map[string]Entry)}
 }
 
-// IgnoreChanges makes the copy ignore changes of a row between values that are the same
-// to all readers, so that they are passed on to nobody.
-func (t *TableCopy) IgnoreChanges(isSame func(a, b []byte) bool) {
-	t.isSame = isSame
-}
-
 // Version returns the version of the store up to which the copy is complete.
 func (t *TableCopy) Version() uint64 {
 	return t.version
@@ -66,11 +57,7 @@
 }
 
 func (t *TableCopy) set(e Entry) {
-	old, ok := t.entries[e.Key]
-	if ok && !old.Removed && !e.Removed && t.isSame != nil && t.isSame(old.Value, e.Value) {
-		return
-	}
-	if ok && old.Removed {
+	if old, ok := t.entries[e.Key]; ok && old.Removed {
 		t.tombstones--
 	}
 	if e.Removed {
