--- a/daemon/entry/attempt_update.go
+++ b/daemon/entry/attempt_update.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
 	"github.com/sycamorecourse/sycamorecourse/serving/relay"
 )
 
@@ -10,6 +11,8 @@
 // previous update.
 type attemptUpdate struct {
 	ref relay.AttemptRef
+	// sent is how the attempt was sent, in the update with the head.
+	sent httpc.Sent
 	// header is set in the update that holds the head of the response.
 	header http.Header
 	head   relay.ResponseHead
--- a/daemon/entry/dispatcher.go
+++ b/daemon/entry/dispatcher.go
@@ -183,6 +183,9 @@
 	if m.header != nil {
 		o.headers[m.ref.Attempt] = m.header
 		o.statuses[m.ref.Attempt] = m.head.Status
+		if m.head.NotRun || m.head.Misdirected {
+			d.logRejected(o, m, now)
+		}
 		d.core.HeadReceived(m.ref, m.head, now)
 	}
 	if len(m.body.Bytes) > 0 {
--- a/daemon/entry/dispatcher_actions.go
+++ b/daemon/entry/dispatcher_actions.go
@@ -98,6 +98,7 @@
 	o := d.requests[a.Ref.Handle]
 	r := &receiver{ref: a.Ref, streaming: a.Streaming, after: a.LastEventID, inbox: d.inbox, budget: d.budget}
 	call := upstream.NewCall(o.exchange, a, r)
+	call.OnSent = r.setSent
 	call.NotAfter = now.Add(min(sendTimeout, a.Timeout))
 	if err := d.inbox.Reserve(); err != nil {
 		d.core.AttemptFailed(a.Ref, relay.Failure{NotSent: true, Detail: err.Error()}, now)
--- a/daemon/entry/metrics.go
+++ b/daemon/entry/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
 	"github.com/sycamorecourse/sycamorecourse/serving/relay"
 )
 
@@ -23,6 +24,7 @@
 	ended            *prometheus.CounterVec
 	retried          prometheus.Counter
 	broken           *prometheus.CounterVec
+	rejected         *prometheus.CounterVec
 	firstEvent       *prometheus.HistogramVec
 	duration         *prometheus.HistogramVec
 	open             prometheus.Gauge
@@ -48,6 +50,10 @@
 			Name: "sycamore_attempts_broken_total",
 			Help: "Attempts that broke off after they were sent, by route and whether the answer was just starting.",
 		}, []string{"route", "starting"}),
+		rejected: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamore_attempts_rejected_total",
+			Help: "Attempts that an upstream said it has not run, by why, and whether the connection had carried the request before.",
+		}, []string{"why", "repeats_id"}),
 		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "sycamore_first_event_seconds",
 			Help:    "Time from a request's arrival to the first event of its answer, by route.",
@@ -91,7 +97,7 @@
 		Name: "sycamore_limit_lends_total",
 		Help: "Questions of other gateways about customers' limits, by outcome.",
 	}, []string{"outcome"})
-	registry.MustRegister(m.asked, m.lent, m.ended, m.retried, m.broken, m.firstEvent, m.duration, m.open, m.quarantined, m.draining, m.paused, m.unsolicitedCount, m.promptTokens)
+	registry.MustRegister(m.asked, m.lent, m.ended, m.retried, m.broken, m.rejected, m.firstEvent, m.duration, m.open, m.quarantined, m.draining, m.paused, m.unsolicitedCount, m.promptTokens)
 	return m
 }
 
@@ -126,3 +132,8 @@
 	m.promptTokens.WithLabelValues("all").Set(float64(counts.PromptTokens))
 	m.promptTokens.WithLabelValues("cached").Set(float64(counts.CachedTokens))
 }
+
+// recordRejected counts an attempt that its upstream says it has not run.
+func (m *metrics) recordRejected(why string, s httpc.Sent) {
+	m.rejected.WithLabelValues(why, strconv.FormatBool(s.RepeatsID)).Inc()
+}
--- a/daemon/entry/open_request.go
+++ b/daemon/entry/open_request.go
@@ -5,6 +5,7 @@
 
 	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
 	"github.com/sycamorecourse/sycamorecourse/edge/httpd"
+	"github.com/sycamorecourse/sycamorecourse/platform/caller"
 	"github.com/sycamorecourse/sycamorecourse/serving/relay"
 )
 
@@ -32,3 +33,8 @@
 func (o *openRequest) forgetAttempt(ref relay.AttemptRef) {
 	delete(o.calls, ref.Attempt)
 }
+
+// id returns the request's ID.
+func (o *openRequest) id() string {
+	return o.exchange.Header.Get(caller.FieldID)
+}
--- a/daemon/entry/receiver.go
+++ b/daemon/entry/receiver.go
@@ -31,6 +31,9 @@
 	// budget bounds what all receivers keep, with the connections that they read from.
 	budget *bytelimit.Budget
 
+	// sent is how the attempt was sent. The thread of the client sets it before the
+	// response can begin.
+	sent     httpc.Sent
 	splitter sse.Splitter
 	// kept counts the bytes taken from budget.
 	kept int
@@ -46,9 +49,13 @@
 	hasEvent bool
 }
 
+// setSent takes over how the attempt was sent.
+func (r *receiver) setSent(s httpc.Sent) { r.sent = s }
+
 // Head implements httpc.Sink.
 func (r *receiver) Head(status int, header http.Header) {
 	n := r.pendingUpdate()
+	n.sent = r.sent
 	n.head = upstream.DecodeHead(status, header)
 	n.header = upstream.ResponseHeader(header)
 	r.isStream = r.streaming && !n.head.NoEvents
--- a/edge/httpc/call.go
+++ b/edge/httpc/call.go
@@ -51,12 +51,23 @@
 	EchoHeader string
 	// Sink receives the response.
 	Sink Sink
+	// OnSent is called on the client's thread right before the request is written, and
+	// once more if that is tried on another connection. It must not block; nil is allowed.
+	OnSent func(Sent)
 
 	// conn and canceled are owned by the client's thread.
 	conn     *connection
 	canceled bool
 }
 
+// id returns the value that the response must repeat; empty if there is none.
+func (c *Call) id() string {
+	if c.EchoHeader == "" {
+		return ""
+	}
+	return c.Header.Get(c.EchoHeader)
+}
+
 // encode returns the request in wire format.
 func (c *Call) encode() ([]byte, error) {
 	if !isRequestTarget(c.Path) {
--- a/edge/httpc/client.go
+++ b/edge/httpc/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -26,6 +27,8 @@
 	pendingDials []*pendingDial
 	dialers      []*dialer
 	reader       *reader
+	// lastNumber is that of the connection that was made last.
+	lastNumber atomic.Uint64
 }
 
 // New returns a client. Open starts its pollers and dialers.
@@ -185,12 +188,16 @@
 	}
 	_ = conn.conn.SetReadDeadline(deadline(call.Timeout))
 	call.conn = conn
+	if call.OnSent != nil {
+		call.OnSent(conn.describeSend(call))
+	}
 	if !conn.current.CompareAndSwap(nil, call) {
 		return false
 	}
 	if conn.isClosed() && conn.current.CompareAndSwap(call, noCall) {
 		return false
 	}
+	conn.recordSend(call)
 	// A failed write closes the connection, and connection.Close calls the sink.
 	_, _ = conn.conn.Write(out)
 	return true
--- a/edge/httpc/connection.go
+++ b/edge/httpc/connection.go
@@ -11,6 +11,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/edge/bytelimit"
 )
 
@@ -29,6 +30,8 @@
 // behind it. The parser calls the methods of the latter one at a time.
 type connection struct {
 	address string
+	// number counts the connections of the client.
+	number  uint64
 	conn    *nbio.Conn
 	parser  *nbhttp.Parser
 	current atomic.Pointer[Call]
@@ -42,6 +45,10 @@
 	// idleSince is when the connection was last put into the pool. The client's
 	// thread owns it.
 	idleSince time.Time
+	// calls is the number of calls that were sent, and carried their IDs. The client's
+	// thread owns both.
+	calls   int
+	carried carriedIDs
 	// keepAliveTimeout is how long the server keeps the connection idle, from the
 	// Keep-Alive field; 0 if unknown. The poller writes it before onIdle.
 	keepAliveTimeout time.Duration
@@ -191,13 +198,30 @@
 	if call.EchoHeader == "" {
 		return nil
 	}
-	want, got := call.Header.Get(call.EchoHeader), c.header.Get(call.EchoHeader)
+	want, got := call.id(), c.header.Get(call.EchoHeader)
 	if want != got {
 		return &MismatchError{Field: call.EchoHeader, Want: want, Got: got}
 	}
 	return nil
 }
 
+// describeSend returns how a call is about to be sent.
+func (c *connection) describeSend(call *Call) Sent {
+	id := call.id()
+	return Sent{
+		At: clock.System{}.Now(), Address: c.address, Connection: c.number, Calls: c.calls,
+		RepeatsID: id != "" && c.carried.has(id),
+	}
+}
+
+// recordSend records that the connection carries a call.
+func (c *connection) recordSend(call *Call) {
+	c.calls++
+	if id := call.id(); id != "" {
+		c.carried.add(id)
+	}
+}
+
 // isClosed reports whether the connection is closed.
 func (c *connection) isClosed() bool {
 	closed, _ := c.conn.IsClosed()
