--- a/edge/httpc/call.go
+++ b/edge/httpc/call.go
@@ -46,8 +46,9 @@
 	// no limit. A call that reaches it unsent fails with a *NotSentError.
 	NotAfter clock.Instant
 	// EchoHeader names a request header field that the response must repeat with
-	// the same value; empty means none. A response without that value belongs to
-	// another request: the call fails, and the connection is closed.
+	// the same value, the ID of the call; empty means none. A response without that
+	// value belongs to another request: the call fails, and the connection is closed.
+	// No connection carries two calls with the same ID.
 	EchoHeader string
 	// Sink receives the response.
 	Sink Sink
@@ -55,17 +56,19 @@
 	// once more if that is tried on another connection. It must not block; nil is allowed.
 	OnSent func(Sent)
 
-	// conn and canceled are owned by the client's thread.
+	// The client's thread owns the fields below. skipped is Sent.Skipped.
 	conn     *connection
 	canceled bool
+	skipped  int
 }
 
-// id returns the value that the response must repeat; empty if there is none.
-func (c *Call) id() string {
+// id returns the value that the response must repeat. The result is false if the
+// response need not repeat any.
+func (c *Call) id() (string, bool) {
 	if c.EchoHeader == "" {
-		return ""
+		return "", false
 	}
-	return c.Header.Get(c.EchoHeader)
+	return c.Header.Get(c.EchoHeader), true
 }
 
 // encode returns the request in wire format.
--- a/edge/httpc/client.go
+++ b/edge/httpc/client.go
@@ -1,6 +1,7 @@
 package httpc
 
 import (
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -138,7 +139,7 @@
 // startCall sends a call on an idle connection, or dials when there is none.
 func (c *Client) startCall(call *Call) {
 	for {
-		conn := c.takeIdle(call.Address)
+		conn := c.takeIdle(call)
 		if conn == nil {
 			c.dial(call)
 			return
@@ -149,28 +150,40 @@
 	}
 }
 
-// takeIdle removes the most recently used connection to an address from the
-// pool and returns it; nil if none is usable.
-func (c *Client) takeIdle(address string) *connection {
-	list := c.idle[address]
+// takeIdle removes from the pool the most recently used connection to the address of a
+// call that has not carried its ID, and returns it; nil if there is none.
+func (c *Client) takeIdle(call *Call) *connection {
+	list := c.idle[call.Address]
+	defer func() { c.setIdle(call.Address, list) }()
+	call.skipped = 0
 	now := time.Now()
-	for len(list) > 0 {
-		conn := list[len(list)-1]
-		list = list[:len(list)-1]
-		c.idle[address] = list
-		if conn.isClosed() {
+	for i := len(list) - 1; i >= 0; i-- {
+		conn := list[i]
+		isUsable := !conn.isStale(now) && pollers.IsQuiet(conn.conn)
+		if isUsable && conn.hasCarried(call) {
+			call.skipped++
 			continue
 		}
-		if conn.isStale(now) || !pollers.IsQuiet(conn.conn) {
+		list = slices.Delete(list, i, i+1)
+		if isUsable {
+			return conn
+		}
+		if !conn.isClosed() {
 			pollers.Shutdown(conn.conn)
-			continue
 		}
-		return conn
 	}
-	delete(c.idle, address)
 	return nil
 }
 
+// setIdle replaces the idle connections to an address.
+func (c *Client) setIdle(address string, list []*connection) {
+	if len(list) == 0 {
+		delete(c.idle, address)
+		return
+	}
+	c.idle[address] = list
+}
+
 // send writes the request. It returns false if the connection was closed before
 // the first byte; then the sink has not been called and another connection may
 // be tried.
@@ -219,10 +232,11 @@
 	}
 }
 
-// putIdle adds a connection to the pool, or closes it if the pool is full.
+// putIdle adds a connection to the pool, or closes it if the pool is full or the
+// connection can carry no further IDs.
 func (c *Client) putIdle(conn *connection) {
 	list := c.idle[conn.address]
-	if len(list) >= c.config.MaxIdle {
+	if len(list) >= c.config.MaxIdle || conn.carried.isFull() {
 		pollers.Shutdown(conn.conn)
 		return
 	}
--- a/edge/httpc/connection.go
+++ b/edge/httpc/connection.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
@@ -45,7 +46,7 @@
 	// idleSince is when the connection was last put into the pool. The client's
 	// thread owns it.
 	idleSince time.Time
-	// calls is the number of calls that were sent, and carried their IDs. The client's
+	// calls is the number of calls that were sent, and carried are their IDs. The client's
 	// thread owns both.
 	calls   int
 	carried carriedIDs
@@ -195,11 +196,11 @@
 
 // checkEcho fails with a *MismatchError if the response belongs to another request.
 func (c *connection) checkEcho(call *Call) error {
-	if call.EchoHeader == "" {
+	want, ok := call.id()
+	if !ok {
 		return nil
 	}
-	want, got := call.id(), c.header.Get(call.EchoHeader)
-	if want != got {
+	if got := c.header.Get(call.EchoHeader); want != got {
 		return &MismatchError{Field: call.EchoHeader, Want: want, Got: got}
 	}
 	return nil
@@ -207,21 +208,23 @@
 
 // describeSend returns how a call is about to be sent.
 func (c *connection) describeSend(call *Call) Sent {
-	id := call.id()
-	return Sent{
-		At: clock.System{}.Now(), Address: c.address, Connection: c.number, Calls: c.calls,
-		RepeatsID: id != "" && c.carried.has(id),
-	}
+	return Sent{At: clock.System{}.Now(), Address: c.address, Connection: c.number, Calls: c.calls, Skipped: call.skipped}
 }
 
 // recordSend records that the connection carries a call.
 func (c *connection) recordSend(call *Call) {
 	c.calls++
-	if id := call.id(); id != "" {
-		c.carried.add(id)
+	if id, ok := call.id(); ok {
+		c.carried.add(xxhash.Sum64String(id))
 	}
 }
 
+// hasCarried reports whether the connection has carried a call with the same ID.
+func (c *connection) hasCarried(call *Call) bool {
+	id, ok := call.id()
+	return ok && c.carried.has(xxhash.Sum64String(id))
+}
+
 // isClosed reports whether the connection is closed.
 func (c *connection) isClosed() bool {
 	closed, _ := c.conn.IsClosed()
--- a/edge/httpc/scripted_server_test.go
+++ b/edge/httpc/scripted_server_test.go
@@ -97,16 +97,17 @@
 		server.scripts = scripts
 		threads = append(threads, thread.Start("server", server.run))
 	}
-	call := func() (*recorder, error) {
+	callWith := func(id string) (*recorder, error) {
 		r := newRecorder()
 		Expect(client.Start(&httpc.Call{
 			Address: server.listener.Addr().String(), Method: "GET", Path: "/x?y=%7e",
-			Header: http.Header{"Name": {"a"}}, EchoHeader: "Name", Timeout: 5 * time.Second, Sink: r,
+			Header: http.Header{"Name": {id}}, EchoHeader: "Name", Timeout: 5 * time.Second, Sink: r,
 		})).To(Succeed())
 		err, takeErr := r.ended.Take()
 		Expect(takeErr).NotTo(HaveOccurred())
 		return r, err
 	}
+	call := func() (*recorder, error) { return callWith("a") }
 
 	It("reads a body without a length up to the end of the connection, and nothing more", func() {
 		serve(respondAndClose(head + "\r\nwhole"))
@@ -185,15 +186,17 @@
 
 	It("does not reuse a connection that its server is about to close", func() {
 		peers := ring.New[string]("peers", 2)
-		answer := func(c *net.TCPConn) {
-			_ = peers.Offer(c.RemoteAddr().String())
-			respond(head + "Keep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok")(c)
+		answer := func(id string) func(*net.TCPConn) {
+			return func(c *net.TCPConn) {
+				_ = peers.Offer(c.RemoteAddr().String())
+				respond("HTTP/1.1 200 OK\r\nName: " + id + "\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok")(c)
+			}
 		}
-		serve(answer, answer)
-		_, err := call()
+		serve(answer("a"), answer("b"))
+		_, err := callWith("a")
 		Expect(err).NotTo(HaveOccurred())
 		time.Sleep(900 * time.Millisecond)
-		_, err = call()
+		_, err = callWith("b")
 		Expect(err).NotTo(HaveOccurred())
 		first, err := peers.Take()
 		Expect(err).NotTo(HaveOccurred())
