--- a/proof/entry/odd_answers_test.go
+++ b/proof/entry/odd_answers_test.go
@@ -71,6 +71,36 @@
 	Entry("soon after the refusal", 2*time.Millisecond, true, true),
 )
 
+// Guards against a request that ran being told as not run: these statuses promise that
+// to callers, while an upstream promises it only by saying so.
+var _ = DescribeTable("An upstream that runs a request and rejects it without saying that it has not run",
+	func(path string, status int, lines string, expected int) {
+		s := newSite()
+		s.configure()
+		odd := s.rawUpstream(map[string]string{"/once/x": "app", "/single/x": "llm"}[path], "odd", func(r *http.Request, w io.Writer) bool {
+			_, _ = w.Write(rawAnswer(r, status, lines, "full"))
+			return true
+		})
+		g := s.start("g1")
+		got := g.ask("POST", path, "key", "b")
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(odd.requests.Load()).To(BeEquivalentTo(1))
+		Expect(got.status).To(Equal(expected))
+		if expected != status {
+			Expect(got.header).NotTo(HaveKey("Response-Seal"))
+			Expect(got.header).NotTo(HaveKey("Retry-After"))
+		}
+	},
+	Entry("503", "/once/x", 503, "", 502),
+	Entry("503 with a seal", "/once/x", 503, "Response-Seal: s\r\n", 502),
+	Entry("503 with a pause", "/once/x", 503, "Response-Seal: s\r\nRetry-After: 1\r\n", 502),
+	Entry("429", "/once/x", 429, "Response-Seal: s\r\n", 502),
+	Entry("408", "/once/x", 408, "Response-Seal: s\r\n", 502),
+	Entry("503 to a stream that may not be resumed", "/single/x", 503, "Response-Seal: s\r\n", 502),
+	Entry("503 that says so", "/once/x", 503, "Not-Executed: 1\r\n", 503),
+	Entry("500", "/once/x", 500, "Response-Seal: s\r\n", 500),
+)
+
 // Guards against what another upstream answers standing in the middle of a stream that
 // had begun, or ending it as if it were complete.
 var _ = DescribeTable("A stream that broke off and whose next upstream does not go on",
--- a/serving/relay/core_done.go
+++ b/serving/relay/core_done.go
@@ -48,7 +48,9 @@
 }
 
 // completeReply retries a request after a server error if the route allows it.
-// Otherwise it passes the response on unchanged and ends the request.
+// Otherwise it passes the response on unchanged and ends the request. A rejection of a
+// request that may run only once is not passed on: the upstream has not said that the
+// request has not run, and the status would say so to the caller.
 func (c *Core) completeReply(s *requestState, now clock.Instant) {
 	a := s.attempt
 	isError := a.head.Status >= 500
@@ -64,6 +66,11 @@
 		return
 	}
 	c.endAttempt(s)
+	if a.head.isRejection() && !s.route.MayRepeat() {
+		s.detail = "rejected without saying that it was not run"
+		c.fail(s, Broken, now)
+		return
+	}
 	c.counts.Answered++
 	switch {
 	case s.abandoned:
--- a/serving/relay/core_upstream.go
+++ b/serving/relay/core_upstream.go
@@ -15,8 +15,6 @@
 	// wait for its end, and minPauseSpread the least time.
 	pauseSpread    = 0.25
 	minPauseSpread = 200 * time.Millisecond
-	// statusUnavailable is the status with which an upstream may ask for a pause.
-	statusUnavailable = 503
 )
 
 // observeUpstream takes over what an upstream says of itself in the head of a
--- a/serving/relay/property_test.go
+++ b/serving/relay/property_test.go
@@ -20,11 +20,13 @@
 	finalActions int
 	disconnected bool
 	lastEvent    int64
+	status       int // of the last complete response that may have run
 }
 
 // TestProperties feeds random events to a core and checks its actions: each request
 // gets one final action, no request runs twice unless its route allows it, and no
-// request that may have run is refused as not run.
+// request that may have run is refused as not run, by the gateway or by a status of its
+// upstream that is passed on.
 func TestProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := clock.Instant(time.Hour)
@@ -93,7 +95,7 @@
 // respond ends an open attempt with a random outcome, or sends it an event.
 func respond(t *rapid.T, core *relay.Core, observations map[relay.Handle]*observation, open map[relay.AttemptRef]bool, ref relay.AttemptRef, now clock.Instant) {
 	a := observations[ref.Handle]
-	switch rapid.IntRange(0, 5).Draw(t, "answer") {
+	switch rapid.IntRange(0, 6).Draw(t, "answer") {
 	case 0:
 		a.possibleRuns--
 		delete(open, ref)
@@ -108,14 +110,21 @@
 		core.AttemptFailed(ref, relay.Failure{}, now)
 	case 3:
 		delete(open, ref)
+		a.status = 500
 		core.HeadReceived(ref, relay.ResponseHead{Status: 500, Sealed: true}, now)
 		core.ResponseEnded(ref, now)
 	case 4:
 		core.HeadReceived(ref, sealedOK, now)
 		n := rapid.Int64Range(1, 9).Draw(t, "event")
 		core.BodyReceived(ref, relay.BodyChunk{Bytes: []byte{byte('0' + n)}, FirstEvent: n, LastEvent: n}, now)
+	case 5:
+		delete(open, ref)
+		a.status = rapid.SampledFrom([]int{408, 429, 503}).Draw(t, "status")
+		core.HeadReceived(ref, relay.ResponseHead{Status: a.status, Sealed: true}, now)
+		core.ResponseEnded(ref, now)
 	default:
 		delete(open, ref)
+		a.status = 200
 		core.HeadReceived(ref, sealedOK, now)
 		core.ResponseEnded(ref, now)
 	}
@@ -156,7 +165,10 @@
 			a.lastEvent = n
 		}
 	case relay.Reply:
-		final(action.Ref.Handle)
+		a := final(action.Ref.Handle)
+		if rejects := a.status == 408 || a.status == 429 || a.status == 503; rejects && (a.route == "once" || a.route == "single") {
+			t.Fatalf("status %d of a request on %s that may have run was passed on", a.status, a.route)
+		}
 	case relay.EndStream:
 		final(action.Handle)
 	case relay.Abort:
--- a/serving/relay/response_head.go
+++ b/serving/relay/response_head.go
@@ -24,6 +24,25 @@
 	Misdirected bool
 }
 
+// Statuses that tell a caller of a gateway that its request has not run and never will.
+// An upstream says that of a request by NotRun or Misdirected.
+const (
+	statusRequestTimeout  = 408
+	statusTooManyRequests = 429
+	statusUnavailable     = 503
+)
+
+// isRejection reports whether the status would tell a caller that its request has not
+// run.
+func (h ResponseHead) isRejection() bool {
+	switch h.Status {
+	case statusRequestTimeout, statusTooManyRequests, statusUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // isSuccess reports whether the status is 2xx.
 func (h ResponseHead) isSuccess() bool {
 	return h.Status >= 200 && h.Status < 300
