httpc: exclusive calls have a connection of their own

Cause: a server may send a copy of an answer late, when its connection is in use again. Call.EchoHeader detects that only where responses name their request; model engines and plain services do not, so that the copy is taken for the response to the next call on the connection.

Change: a call with Exclusive dials and does not look into the pool, and its connection is closed after the response. Nothing sets it yet.

Evidence: the new spec fails without either half: a connection taken from the pool ("not to contain element matching"), and one put back (the next shared call gets it). All specs of edge/httpc pass with the race detector.

--- a/edge/httpc/call.go
+++ b/edge/httpc/call.go
@@ -50,6 +50,10 @@
 	// value belongs to another request: the call fails, and the connection is closed.
 	// No connection carries two calls with the same ID.
 	EchoHeader string
+	// Exclusive sends the request over a new connection, which is closed after the
+	// response. So the server can't send, before the response, anything that it owes
+	// to another call; see EchoHeader for servers that name the request.
+	Exclusive bool
 	// Sink receives the response.
 	Sink Sink
 	// OnSent is called on the client's thread right before the request is written, and
--- a/edge/httpc/client.go
+++ b/edge/httpc/client.go
@@ -136,8 +136,13 @@
 	}
 }
 
-// startCall sends a call on an idle connection, or dials when there is none.
+// startCall sends a call on an idle connection, or dials when there is none or the
+// call is exclusive.
 func (c *Client) startCall(call *Call) {
+	if call.Exclusive {
+		c.dial(call)
+		return
+	}
 	for {
 		conn := c.takeIdle(call)
 		if conn == nil {
--- a/edge/httpc/connection_receive.go
+++ b/edge/httpc/connection_receive.go
@@ -86,13 +86,13 @@
 }
 
 // finish reports a complete response, and hands the connection on for reuse unless the
-// server is about to close it or has sent more than the response.
+// call is exclusive, or the server is about to close it or has sent more than the response.
 func (c *connection) finish(call *Call) error {
 	hasSurplus := c.hasSurplus
 	c.complete = false
 	c.hasSurplus = false
 	c.parser.ParserCloser = nil
-	closeAfter := c.closeAfter
+	closeAfter := c.closeAfter || call.Exclusive
 	if !c.current.CompareAndSwap(call, nil) {
 		return nil
 	}
