engine: each call whose answer is used has a connection of its own

What callers saw: where an upstream repeats an answer late, on a kept connection, the copy was taken for the answer to the next call. A request that ran was told as refused or run a second time, also a non-idempotent one; a caller got the reply to another one's call, or the tokens of another request; an export or an import got another request's KV cache or handle.

A copy looks like an answer to whatever was sent last, and answers of engines and services carry nothing that names their call. Refusals, 404 and handles of KV caches were believed on that.

Change: completions, calls of services, reattachments, exports and imports are exclusive. Nothing that an upstream owes to one call can reach another, whatever it does; no answer has to name its call, which real services need not do. Reads of load and cancellations share connections: the answer to a cancellation is ignored, and a load report says when it was measured.

Cost: a dial for each call, 22 a second for a gateway at the size of CAPACITY.md by its table, not measured here. An upstream that does not answer a dial occupies a dialer for a second, so the gateway has 8 instead of 2.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -31,6 +31,9 @@
 	drainSlots = 4
 	// probeSlots is the capacity of the probe ring.
 	probeSlots = 16
+	// upstreamDialers is the number of threads that establish connections to
+	// upstreams. One that does not answer occupies a thread for a second.
+	upstreamDialers = 8
 	// slotsPerRequest is the number of slots for each request in the dispatch
 	// and delivery rings, in addition to the reserved ones.
 	slotsPerRequest = 4
@@ -70,7 +73,7 @@
 	// attempt, one for a read and one for a write of the table.
 	dispatches := ring.New[dispatchMessage]("dispatch", s.MaxRequests*(slotsPerRequest+3))
 	deliveries := ring.New[deliveryMessage]("delivery", s.MaxRequests*(slotsPerRequest+reservedSlotsPerCaller))
-	g.upstream = httpc.New(httpc.Config{Name: "upstream", Capacity: 2 * s.MaxRequests})
+	g.upstream = httpc.New(httpc.Config{Name: "upstream", Capacity: 2 * s.MaxRequests, Dialers: upstreamDialers})
 	g.tableClient = httpc.New(httpc.Config{Name: "record", Capacity: 2 * s.MaxRequests})
 	g.intake = &intake{limits: caller.Limits{}.WithDefaults(), admission: admissions, delivery: deliveries, log: log}
 	g.admission = &admission{inbox: admissions, dispatch: dispatches, delivery: deliveries, addressKeep: s.AddressKeep}
--- a/edge/engine/calls.go
+++ b/edge/engine/calls.go
@@ -39,14 +39,15 @@
 		return nil, &DecodeError{Err: err}
 	}
 	return &httpc.Call{
-		Address:  s.Address,
-		Method:   http.MethodPost,
-		Path:     completionsPath,
-		Header:   http.Header{"Content-Type": {"application/json"}, "Accept": {"text/event-stream"}},
-		Body:     body,
-		Timeout:  timeout,
-		NotAfter: s.NotAfter,
-		Sink:     &streamSink{receiver: receiver},
+		Address:   s.Address,
+		Method:    http.MethodPost,
+		Path:      completionsPath,
+		Header:    http.Header{"Content-Type": {"application/json"}, "Accept": {"text/event-stream"}},
+		Body:      body,
+		Timeout:   timeout,
+		NotAfter:  s.NotAfter,
+		Exclusive: true,
+		Sink:      &streamSink{receiver: receiver},
 	}, nil
 }
 
@@ -54,17 +55,18 @@
 // again, from a given token on.
 func NewReattachCall(r *dispatch.Reattach, timeout time.Duration, receiver Receiver) *httpc.Call {
 	return &httpc.Call{
-		Address: r.Address,
-		Method:  http.MethodGet,
-		Path:    streamPath(r.Ref) + "?from=" + strconv.Itoa(r.FromToken),
-		Header:  http.Header{"Accept": {"text/event-stream"}},
-		Timeout: timeout,
-		Sink:    &streamSink{receiver: receiver},
+		Address:   r.Address,
+		Method:    http.MethodGet,
+		Path:      streamPath(r.Ref) + "?from=" + strconv.Itoa(r.FromToken),
+		Header:    http.Header{"Accept": {"text/event-stream"}},
+		Timeout:   timeout,
+		Exclusive: true,
+		Sink:      &streamSink{receiver: receiver},
 	}
 }
 
 // NewCancelCall returns the call that cancels an attempt. Its response is
-// ignored.
+// ignored, so it needs no connection of its own.
 func NewCancelCall(a *dispatch.Abort, timeout time.Duration) *httpc.Call {
 	return &httpc.Call{
 		Address: a.Address,
@@ -82,14 +84,15 @@
 	}
 	header.Set(requestKeyHeader, s.Request.ID.Key)
 	return &httpc.Call{
-		Address:  s.Address,
-		Method:   s.Request.Call.Method,
-		Path:     s.Request.Call.Path,
-		Header:   header,
-		Body:     s.Request.Call.Body,
-		Timeout:  timeout,
-		NotAfter: s.NotAfter,
-		Sink:     &serviceSink{receiver: receiver, idempotent: s.Request.Idempotent},
+		Address:   s.Address,
+		Method:    s.Request.Call.Method,
+		Path:      s.Request.Call.Path,
+		Header:    header,
+		Body:      s.Request.Call.Body,
+		Timeout:   timeout,
+		NotAfter:  s.NotAfter,
+		Exclusive: true,
+		Sink:      &serviceSink{receiver: receiver, idempotent: s.Request.Idempotent},
 	}
 }
 
--- a/edge/engine/kv.go
+++ b/edge/engine/kv.go
@@ -24,12 +24,13 @@
 		return nil, &DecodeError{Err: err}
 	}
 	return &httpc.Call{
-		Address: e.Address,
-		Method:  http.MethodPost,
-		Path:    exportPath,
-		Header:  http.Header{"Content-Type": {"application/json"}},
-		Body:    body,
-		Timeout: e.Timeout,
+		Address:   e.Address,
+		Method:    http.MethodPost,
+		Path:      exportPath,
+		Header:    http.Header{"Content-Type": {"application/json"}},
+		Body:      body,
+		Timeout:   e.Timeout,
+		Exclusive: true,
 		Sink: collect.New(maxCacheBytes, func(answer collect.Response, err error) {
 			if failure, failed := kvFailure(answer, err); failed {
 				receiver.KVFailed(failure)
@@ -43,12 +44,13 @@
 // NewImportCall returns the call that imports an exported KV cache.
 func NewImportCall(i *dispatch.Import, receiver KVReceiver) *httpc.Call {
 	return &httpc.Call{
-		Address: i.Address,
-		Method:  http.MethodPost,
-		Path:    importPath,
-		Header:  http.Header{"Content-Type": {"application/octet-stream"}},
-		Body:    i.Cache,
-		Timeout: i.Timeout,
+		Address:   i.Address,
+		Method:    http.MethodPost,
+		Path:      importPath,
+		Header:    http.Header{"Content-Type": {"application/octet-stream"}},
+		Body:      i.Cache,
+		Timeout:   i.Timeout,
+		Exclusive: true,
 		Sink: collect.New(maxCacheBytes, func(answer collect.Response, err error) {
 			if failure, failed := kvFailure(answer, err); failed {
 				receiver.KVFailed(failure)
