orders: each call to an engine has a connection of its own

What operators saw: where an engine repeats an answer late, the controller took an older state for the one after its order, or the refusal of an earlier order for that of a new one, so that a holder of the fleet lease counted its order as refused although the engine had taken it, and reported engines as able to serve by a state that had passed.

Answers to reads and orders do not name their call, and the calls went over pooled connections.

Change: these calls are exclusive. They dial each time now, and an engine that does not answer a dial occupies a dialer for a second; the controller had two for engines and platform together. So engines have a client of their own, with 8, and can't delay the renewal of a lease.

--- a/daemon/controller/controller.go
+++ b/daemon/controller/controller.go
@@ -41,9 +41,9 @@
 	links *links
 	admin *httpd.Server
 	api   *httpd.Server
-	// platformClient is the HTTP client of the platform's services; nil when the
-	// platform was passed to New.
-	platformClient *httpc.Client
+	// httpClients are the clients of the platform's services and of engines; none
+	// when the platform was passed to New.
+	httpClients []*httpc.Client
 }
 
 // New makes a controller that uses the services of a platform. Open starts its
@@ -191,8 +191,8 @@
 	c.group.Start("rollout", c.rollout.run)
 	c.group.Start("fleet", c.fleet.run)
 	c.group.Start("orders", c.orders.run)
-	if c.platformClient != nil {
-		c.group.Start("platform-http", c.platformClient.Run)
+	for _, client := range c.httpClients {
+		c.group.Start(client.Stats().Name, client.Run)
 	}
 	// In a shutdown the operators duty returns once all requests are answered,
 	// then the fleet duty once its lease is released. Any other return of a duty
@@ -226,8 +226,8 @@
 		c.links.close()
 	}
 	c.report.Close()
-	if c.platformClient != nil {
-		c.platformClient.Close()
+	for _, client := range c.httpClients {
+		client.Close()
 	}
 	err := c.group.Join()
 	c.api.Close()
--- a/daemon/controller/open.go
+++ b/daemon/controller/open.go
@@ -15,28 +15,55 @@
 // maxOrderDuration.
 const engineTimeout = 3 * time.Second
 
+// engineDialers is the number of threads that establish connections to engines. One
+// that does not answer occupies a thread for a second.
+const engineDialers = 8
+
 // Open makes a controller that uses the services named in the settings, and
 // starts its servers.
 func Open(s *Settings, log zerolog.Logger, release string) (*Controller, error) {
-	http := httpc.New(httpc.Config{Name: "platform-http"})
-	if err := http.Open(); err != nil {
-		return nil, &StartError{Part: "platform client", Err: err}
+	services, err := openClient("platform client", httpc.Config{Name: "platform-http"})
+	if err != nil {
+		return nil, err
 	}
-	tables := table.New(table.Config{Address: s.TableAddress}, http)
-	clouds := &cloudClient{client: cloud.New(cloud.Config{Address: s.CloudAddress}, http)}
-	platform := Platform{Table: tables, Cloud: clouds, Engines: orders.New(http, engineTimeout)}
-	c := New(s, log, platform, release)
-	c.platformClient = http
-	c.report.AddRing(http.Stats)
-	if s.LinkAddress != "" {
-		if err := c.EnableLinks(); err != nil {
-			http.Close()
-			return nil, err
-		}
+	// Engines have a client of their own, so that those that do not answer delay no
+	// call to the platform.
+	engines, err := openClient("engine client", httpc.Config{Name: "engine-http", Dialers: engineDialers})
+	if err != nil {
+		services.Close()
+		return nil, err
 	}
-	if err := c.Open(); err != nil {
-		http.Close()
+	tables := table.New(table.Config{Address: s.TableAddress}, services)
+	clouds := &cloudClient{client: cloud.New(cloud.Config{Address: s.CloudAddress}, services)}
+	c := New(s, log, Platform{Table: tables, Cloud: clouds, Engines: orders.New(engines, engineTimeout)}, release)
+	c.httpClients = []*httpc.Client{services, engines}
+	if err := c.openServers(); err != nil {
+		services.Close()
+		engines.Close()
 		return nil, err
 	}
 	return c, nil
 }
+
+// openClient opens an HTTP client. Part names it in the error.
+func openClient(part string, config httpc.Config) (*httpc.Client, error) {
+	client := httpc.New(config)
+	if err := client.Open(); err != nil {
+		return nil, &StartError{Part: part, Err: err}
+	}
+	return client, nil
+}
+
+// openServers adds the rings of the HTTP clients to the metrics and starts the servers,
+// with links if a link address is configured.
+func (c *Controller) openServers() error {
+	for _, client := range c.httpClients {
+		c.report.AddRing(client.Stats)
+	}
+	if c.settings.LinkAddress != "" {
+		if err := c.EnableLinks(); err != nil {
+			return err
+		}
+	}
+	return c.Open()
+}
--- a/edge/orders/client.go
+++ b/edge/orders/client.go
@@ -63,7 +63,9 @@
 		Header:  http.Header{"Content-Type": {"application/json"}},
 		Body:    body,
 		Timeout: c.timeout,
-		Sink:    collect.New(maxAnswerBytes, done),
+		// A late copy of an older state must not be taken for this one.
+		Exclusive: true,
+		Sink:      collect.New(maxAnswerBytes, done),
 	}
 	if err := c.http.Start(call); err != nil {
 		done(collect.Response{}, &httpc.NotSentError{Address: address, Err: err})
