dispatch: a request that was stopped by an export may have run

What callers saw: a request whose upstream was leaving had given tokens, was stopped by the export of its KV cache, and then waited for an upstream until its deadline. It was refused as not run, which is what callers act on when they send a request again elsewhere.

Cause: an export ends an attempt without a failure, and only failures, aborts and hand-overs noted that an attempt may have run.

Evidence: the new spec "does not report a request as not run that waits with its KV cache" failed before (Expected <request.Outcome>: not_run to equal <request.Outcome>: unknown).

Change: Exported notes it, which is where the engine has proved that it ran. All specs of serving/dispatch pass with the race detector.

--- a/serving/dispatch/core_move.go
+++ b/serving/dispatch/core_move.go
@@ -18,6 +18,7 @@
 		return
 	}
 	e.isExporting = false
+	e.mayHaveRun = true
 	e.kvCache = cache
 	c.counts.Exported++
 	c.requeueElsewhere(e, now)
--- a/serving/dispatch/core_test.go
+++ b/serving/dispatch/core_test.go
@@ -367,6 +367,21 @@
 		Expect(take[dispatch.Finish](f).Summary.Outcome()).To(Equal(request.Completed))
 	})
 
+	// Guards against telling callers that a request did not run whose first attempt has
+	// given tokens: it was stopped by the export, and then found no upstream in time.
+	It("does not report a request as not run that waits with its KV cache", func() {
+		begin(true)
+		other := "e1"
+		if send.Address == "10.0.0.1:1" {
+			other = "e2"
+		}
+		f.core.RemoveInstances([]string{other}, f.now)
+		f.core.Exported(take[dispatch.Export](f).Ref, []byte("cache"), f.now)
+		f.now = f.now.Add(time.Minute)
+		f.core.Tick(f.now)
+		Expect(take[dispatch.Finish](f).Summary.Outcome()).To(Equal(request.OutcomeUnknown))
+	})
+
 	It("never runs a non-idempotent request again when its cache finds no upstream", func() {
 		begin(false)
 		export := take[dispatch.Export](f)
