dispatch: a refusal to continue a request does not free its record

What callers saw: a non-idempotent request whose upstream was leaving moved with its KV cache after some tokens. If the next upstream refused it (its queue was full, or it had forgotten the handle), or could not be reached, the record of the request was set to not run. Then it was computed again from its prompt, and a repetition at another gateway could run it once more.

Evidence: both entries of "never runs a non-idempotent request again when no upstream continues it" failed before (the record was written: Expected <bool>: true to be false).

Change: the KV cache is kept until an attempt with it gives a token. While it is kept, a failure that proves that nothing ran concerns the continuation: it is tried at another upstream with the cache, as after a failed import, and ends as unknown if none takes it. Idempotent requests keep their cache in the same way.

--- a/serving/dispatch/core_attempt.go
+++ b/serving/dispatch/core_attempt.go
@@ -25,6 +25,7 @@
 	// Append can't fail: the index is the next one.
 	_ = e.answer.Append(piece)
 	e.isReattached = false
+	e.kvCache = nil
 	c.counts.Tokens += uint64(tokens)
 	c.emit(Deliver{ID: e.request.ID, Pieces: e.answer.From(e.delivered)})
 	e.delivered = e.answer.Len()
@@ -176,8 +177,8 @@
 	return true
 }
 
-// handleNotRun handles a failure that proves that nothing has run, unless the
-// stream was reattached: then the failure is that of the reattachment, and the
+// handleNotRun handles a failure that proves that the attempt has not run, unless
+// the stream was reattached: then the failure is that of the reattachment, and the
 // attempt itself may have run.
 func (c *Core) handleNotRun(e *entry, kind FailureKind, now clock.Instant) {
 	if e.isReattached {
@@ -189,6 +190,10 @@
 	case kind == Broken:
 		c.recordUnknown(e)
 		c.endUnknown(e, request.UpstreamFailed, "the upstream failed while the request ran", now)
+	case e.kvCache != nil:
+		// What has not run is the continuation with the KV cache. The request has run
+		// before, so its record must not say otherwise.
+		c.retry(e, now)
 	case kind == NotSent:
 		c.withdrawClaim(e, now)
 	default:
--- a/serving/dispatch/core_end.go
+++ b/serving/dispatch/core_end.go
@@ -77,6 +77,7 @@
 	c.finishQueued(e, now)
 	e.phase = phaseEnded
 	e.endedAt = now
+	e.kvCache = nil
 	e.summary = summary
 	c.setTimer(e, now.Add(c.cfg.Retention))
 	if !e.isAccepted {
--- a/serving/dispatch/core_move.go
+++ b/serving/dispatch/core_move.go
@@ -52,7 +52,6 @@
 		return
 	}
 	e.isImporting = false
-	e.kvCache = nil
 	c.counts.Imported++
 	c.send(e, handle, 0, now)
 }
--- a/serving/dispatch/core_test.go
+++ b/serving/dispatch/core_test.go
@@ -382,6 +382,33 @@
 		Expect(take[dispatch.Finish](f).Summary.Outcome()).To(Equal(request.OutcomeUnknown))
 	})
 
+	// Guards against a second run: that an upstream refuses to continue a request with
+	// its KV cache does not prove that the request has not run before.
+	DescribeTable("never runs a non-idempotent request again when no upstream continues it",
+		func(kind dispatch.FailureKind) {
+			begin(false)
+			f.core.Exported(take[dispatch.Export](f).Ref, []byte("cache"), f.now)
+			for !has[dispatch.Finish](f) {
+				Expect(has[dispatch.WriteRows](f)).To(BeFalse(), "the record of the request changed")
+				if has[dispatch.Import](f) {
+					f.core.Imported(take[dispatch.Import](f).Ref, "kv-1", f.now)
+				}
+				if has[dispatch.Send](f) {
+					next := take[dispatch.Send](f)
+					Expect(next.KVHandle).To(Equal("kv-1"))
+					Expect(f.core.MaySend(next.Ref, f.now)).To(BeTrue())
+					f.core.Failed(next.Ref, dispatch.Failure{Kind: kind}, f.now)
+					continue
+				}
+				f.now = f.now.Add(time.Second)
+				f.core.Tick(f.now)
+			}
+			Expect(take[dispatch.Finish](f).Summary.Outcome()).To(Equal(request.OutcomeUnknown))
+		},
+		Entry("refused", dispatch.RefusedByUpstream),
+		Entry("not sent", dispatch.NotSent),
+	)
+
 	It("never runs a non-idempotent request again when its cache finds no upstream", func() {
 		begin(false)
 		export := take[dispatch.Export](f)
--- a/serving/dispatch/entry.go
+++ b/serving/dispatch/entry.go
@@ -44,7 +44,7 @@
 	isExporting  bool
 	isStreamLost bool // the stream ended while it was being exported
 	isImporting  bool
-	kvCache      []byte // KV cache of a moved request, until it is imported
+	kvCache      []byte // KV cache of a moved request, until an attempt with it gives a token
 
 	answer           answer.Log
 	delivered        int // number of pieces passed on to callers
