dispatch: the ID of an attempt is unique over gateways, starts and requests

What callers saw: a caller that lost its gateway came to the next one with its key. The first gateway gave up after its grace period and cancelled its attempt by customer, key and number, which were those of the second gateway's run too: the answer that the caller was reading broke off and was computed again. In the same way a broken stream could be read again from another run, whose tokens need not continue the first, and an export could stop it. A message that came late for a request that was forgotten counted for the next one with its key.

The number of an attempt counts from 1 at each gateway, start and request.

Evidence: "cancel only the runs that they started" failed before (Expected <int>: 2 to equal <int>: 1, attempts), as did "differs between gateways for the same key" and "differs for a key that comes again after its request was forgotten" (Expected <bool>: true to be false).

Change: the core names each attempt by customer, key, holder, start, entry and number. The name is part of StreamRef, so that a late message matches no other attempt, and of a hand-over. From a release without it the former name is used; a gateway of such a release that takes a request over from this one does not find its run, computes an idempotent one again and ends another as unknown.

All specs of proof/path, serving/dispatch and edge/engine pass with the race detector.

--- a/edge/engine/calls.go
+++ b/edge/engine/calls.go
@@ -30,7 +30,7 @@
 		MaxTokens:  s.Request.MaxTokens,
 		Stream:     true,
 		Priority:   s.Request.Priority,
-		RequestID:  requestID(s.Ref),
+		RequestID:  s.Ref.AttemptID,
 		ResumeFrom: s.ResumeTokens,
 		ResumeText: s.ResumeText,
 		KVHandle:   s.KVHandle,
@@ -96,13 +96,6 @@
 	}
 }
 
-// requestID returns the ID of an attempt at an engine. It is unique to the
-// attempt, so that late tokens of an earlier attempt at the same request can't be
-// mistaken for tokens of this one.
-func requestID(ref dispatch.StreamRef) string {
-	return ref.ID.Customer + "/" + ref.ID.Key + "#" + strconv.Itoa(ref.Attempt)
-}
-
 func streamPath(ref dispatch.StreamRef) string {
-	return completionsPath + "/" + url.PathEscape(requestID(ref))
+	return completionsPath + "/" + url.PathEscape(ref.AttemptID)
 }
--- a/edge/engine/completion_request.go
+++ b/edge/engine/completion_request.go
@@ -1,6 +1,7 @@
 package engine
 
-// completionRequest is the body of POST /v1/completions.
+// completionRequest is the body of POST /v1/completions. RequestID is the ID of the
+// attempt: the engine may run several attempts at one request.
 type completionRequest struct {
 	Model      string `json:"model"`
 	Adapter    string `json:"adapter,omitempty"`
--- a/edge/engine/kv.go
+++ b/edge/engine/kv.go
@@ -19,7 +19,7 @@
 
 // NewExportCall returns the call that stops an attempt and exports its KV cache.
 func NewExportCall(e *dispatch.Export, receiver KVReceiver) (*httpc.Call, error) {
-	body, err := json.Marshal(exportRequest{RequestID: requestID(e.Ref)})
+	body, err := json.Marshal(exportRequest{RequestID: e.Ref.AttemptID})
 	if err != nil {
 		return nil, &DecodeError{Err: err}
 	}
--- a/proof/measure/ask.go
+++ b/proof/measure/ask.go
@@ -13,7 +13,7 @@
 func Direct(http *httpc.Client, address, model, prompt, key string, tokens int) (Sample, error) {
 	d := newDirect()
 	call, err := engine.NewCall(&dispatch.Send{
-		Ref:     dispatch.StreamRef{ID: request.ID{Customer: "measure", Key: key}, Attempt: 1},
+		Ref:     dispatch.StreamRef{ID: request.ID{Customer: "measure", Key: key}, Attempt: 1, AttemptID: "measure/" + key},
 		Address: address,
 		Request: &request.Request{Model: model, Prompt: prompt, MaxTokens: tokens},
 	}, time.Minute, d)
--- a/proof/path/repeated_answer_test.go
+++ b/proof/path/repeated_answer_test.go
@@ -84,7 +84,7 @@
 }
 
 func refOf(key string) dispatch.StreamRef {
-	return dispatch.StreamRef{ID: request.ID{Customer: "academy", Key: key}, Attempt: 1}
+	return dispatch.StreamRef{ID: request.ID{Customer: "academy", Key: key}, Attempt: 1, AttemptID: "academy/" + key + "#1"}
 }
 
 func completion(key, prompt string) upstreamCall {
--- a/serving/dispatch/core_attempt.go
+++ b/serving/dispatch/core_attempt.go
@@ -127,6 +127,7 @@
 	e.isReattached = false
 	e.isStreamLost = false
 	e.attempt++
+	e.attemptID = newAttemptID(c.cfg.Holder, e)
 	e.stream = 0
 	switch {
 	case e.kvCache != nil:
--- a/serving/dispatch/core_handover.go
+++ b/serving/dispatch/core_handover.go
@@ -96,7 +96,7 @@
 		h.Claim = &released
 	}
 	if e.phase == phaseRunning {
-		h.Upstream, h.Address = e.choice.ID, e.choice.Address
+		h.Upstream, h.Address, h.AttemptID = e.choice.ID, e.choice.Address, e.attemptID
 		c.emit(Detach{Ref: e.ref()})
 	} else {
 		c.queue.Remove(e.seq)
@@ -148,12 +148,16 @@
 		arrivedAt:        now,
 		deadline:         now.Add(h.TimeLeft),
 		attempt:          h.Attempts,
+		attemptID:        h.AttemptID,
 		recomputedTokens: h.RecomputedTokens,
 		mayHaveRun:       h.MayHaveRun,
 		choice:           route.Choice{ID: h.Upstream, Address: h.Address},
 		hasNoCaller:      true,
 		callersGoneAt:    now.Add((takeOverGraceFactor - 1) * c.cfg.ResumeGrace),
 	}
+	if e.attemptID == "" {
+		e.attemptID = plainAttemptID(h.Request.ID, h.Attempts)
+	}
 	for _, p := range h.Pieces {
 		if e.answer.Append(p) != nil {
 			return nil
--- a/serving/dispatch/entry.go
+++ b/serving/dispatch/entry.go
@@ -30,6 +30,7 @@
 	triedReplicas []string // to be avoided by the next attempt
 	choice        route.Choice
 	attempt       int
+	attemptID     string // StreamRef.AttemptID of the current attempt
 	stream        int
 
 	isDispatched bool // taken out of the queue, which counts it as running
@@ -63,13 +64,13 @@
 }
 
 func (e *entry) ref() StreamRef {
-	return StreamRef{ID: e.request.ID, Attempt: e.attempt, Stream: e.stream}
+	return StreamRef{ID: e.request.ID, Attempt: e.attempt, AttemptID: e.attemptID, Stream: e.stream}
 }
 
 // isCurrent reports whether ref identifies the current stream of a running
 // attempt.
 func (e *entry) isCurrent(ref StreamRef) bool {
-	return e.phase == phaseRunning && ref.Attempt == e.attempt && ref.Stream == e.stream
+	return e.phase == phaseRunning && ref == e.ref()
 }
 
 // isActive reports whether the request is open or its record is being written
--- a/serving/dispatch/handoff.go
+++ b/serving/dispatch/handoff.go
@@ -33,4 +33,7 @@
 	// Claim is the released claim of a non-idempotent request; nil for others.
 	// Whoever takes it up may finish the request.
 	Claim *attempt.Handoff `cbor:"10,keyasint"`
+	// AttemptID is StreamRef.AttemptID of the attempt at Upstream. It is empty if the
+	// gateway has a release without it.
+	AttemptID string `cbor:"11,keyasint,omitempty"`
 }
--- a/serving/dispatch/stream_ref.go
+++ b/serving/dispatch/stream_ref.go
@@ -9,6 +9,9 @@
 	ID request.ID
 	// Attempt counts the attempts of the request from 1.
 	Attempt int
+	// AttemptID names the attempt at its upstream. No other attempt has it, whatever
+	// its request or its gateway.
+	AttemptID string
 	// Stream counts the connections to the attempt from 0; each Reattach adds
 	// one.
 	Stream int
