--- a/edge/httpd/connection.go
+++ b/edge/httpd/connection.go
@@ -15,58 +15,75 @@
 type connection struct {
 	*nbhttp.ServerProcessor
 	handler Handler
-	current atomic.Pointer[Exchange]
-	queued  atomic.Pointer[Exchange]
+	// open holds the exchanges that have not ended; nil if there are none.
+	open atomic.Pointer[turns]
 }
 
 // Close implements nbhttp.Processor. It is called once, when the connection is
 // closed.
 func (c *connection) Close(parser *nbhttp.Parser, err error) {
-	c.queued.Store(nil)
-	if x := c.current.Swap(nil); x != nil {
-		c.handler.Disconnected(x)
+	if t := c.open.Swap(nil); t != nil {
+		c.handler.Disconnected(t.current)
 	}
 	c.ServerProcessor.Close(parser, err)
 }
 
+// isBusy reports whether an exchange has not ended.
+func (c *connection) isBusy() bool {
+	return c.open.Load() != nil
+}
+
 // serveOrQueue serves an exchange at once, or queues it until the current one
-// ends. It returns false if another one is queued already. It is never called
-// concurrently for one connection.
+// ends. It returns false if another one is queued already.
 func (c *connection) serveOrQueue(x *Exchange) bool {
-	if c.current.CompareAndSwap(nil, x) {
-		c.serve(x)
-		return true
+	for {
+		old := c.open.Load()
+		switch {
+		case old == nil:
+			if c.open.CompareAndSwap(nil, &turns{current: x}) {
+				c.serve(x)
+				return true
+			}
+		case old.queued != nil:
+			return false
+		default:
+			if c.open.CompareAndSwap(old, &turns{current: old.current, queued: x}) {
+				return true
+			}
+		}
 	}
-	if !c.queued.CompareAndSwap(nil, x) {
-		return false
-	}
-	c.serveQueued()
-	return true
 }
 
 // release removes an exchange whose response is complete, and serves the queued
 // one.
 func (c *connection) release(x *Exchange) {
-	if c.current.CompareAndSwap(x, nil) {
-		c.serveQueued()
+	for {
+		old := c.open.Load()
+		if old == nil || old.current != x {
+			return
+		}
+		var next *turns
+		if old.queued != nil {
+			next = &turns{current: old.queued}
+		}
+		if !c.open.CompareAndSwap(old, next) {
+			continue
+		}
+		if next != nil {
+			c.serve(next.current)
+		}
+		return
 	}
 }
 
 // abort removes an exchange and the queued one before the connection is closed,
 // so that the handler is not told of the disconnect.
 func (c *connection) abort(x *Exchange) {
-	c.queued.Store(nil)
-	c.current.CompareAndSwap(x, nil)
-}
-
-// serveQueued serves the queued exchange if there is no current one.
-func (c *connection) serveQueued() {
-	if c.current.Load() != nil {
-		return
-	}
-	if x := c.queued.Swap(nil); x != nil {
-		c.current.Store(x)
-		c.serve(x)
+	for {
+		old := c.open.Load()
+		if old == nil || old.current != x || c.open.CompareAndSwap(old, nil) {
+			return
+		}
 	}
 }
 
--- a/edge/httpd/server.go
+++ b/edge/httpd/server.go
@@ -123,7 +123,7 @@
 	if s.config.OnMalformed != nil {
 		s.config.OnMalformed(malformed)
 	}
-	if state, ok := parser.Processor.(*connection); ok && state.current.Load() != nil {
+	if state, ok := parser.Processor.(*connection); ok && state.isBusy() {
 		// An error response would end up inside the response in progress.
 		_ = c.CloseWithError(malformed)
 		return
