--- a/serving/limit/table_publish.go
+++ b/serving/limit/table_publish.go
@@ -79,8 +79,11 @@
 	return used, reserves
 }
 
-// Hear takes over what another holder has told.
+// Hear takes over what another holder has told, unless it has told what it counted later.
 func (t *Table) Hear(instance string, used map[string]Use, reserves map[string]Reserve, countedAt, now clock.Instant) {
+	if known, ok := t.heard[instance]; ok && countedAt.Before(known.CountedAt) {
+		return
+	}
 	t.heard[instance] = Peer{Used: used, Reserves: reserves, CountedAt: min(countedAt, now)}
 	for name := range reserves {
 		if l := t.limiters[name]; l != nil && l.isHolder {
