--- a/daemon/entry/dispatcher_limits.go
+++ b/daemon/entry/dispatcher_limits.go
@@ -101,13 +101,13 @@
 }
 
 // handleUse takes over the response of another holder. It was counted after the news was
-// sent to it.
+// sent to it. If another gateway has got the address meanwhile, it is that one's.
 func (d *dispatcher) handleUse(m useHeard, now clock.Instant) {
 	if m.err != nil {
 		d.log.Debug().Str("gateway", m.instance).Str("cause", m.err.Error()).Msg("holder_not_heard")
 		return
 	}
-	d.core.HearUse(m.instance, m.news.Used, m.news.Reserves, m.sentAt, now)
+	d.core.HearUse(m.news.Instance, m.news.Used, m.news.Reserves, m.sentAt, now)
 }
 
 func (d *dispatcher) replyPeer(x *httpd.Exchange, status int, body []byte) {
