--- a/daemon/entry/coordinator_records.go
+++ b/daemon/entry/coordinator_records.go
@@ -245,7 +245,7 @@
 	c.publishDraining()
 	c.publishRollouts()
 	offerOrLog(c.dispatch, dispatchMessage(message), c.log)
-	offerOrLog(c.dispatch, dispatchMessage(setClockOffset{offset: c.clockOffset()}), c.log)
+	offerOrLog(c.dispatch, dispatchMessage(setClockOffset{offset: c.clockOffset(), store: c.storeNow(0)}), c.log)
 }
 
 // publishHubs tells the peers and watch duties which gateways are hubs, if that has
--- a/daemon/entry/dispatcher.go
+++ b/daemon/entry/dispatcher.go
@@ -56,6 +56,8 @@
 	// clockOffset is the wall clock, as time since the Unix epoch, minus the
 	// monotonic clock; 0 until it is known.
 	clockOffset time.Duration
+	// storeOffset is the store's clock minus the monotonic clock; 0 until it is known.
+	storeOffset time.Duration
 	// usageWindow is the length of a usage window.
 	usageWindow time.Duration
 	// usageCounts holds the counts by usage window that are not yet published.
@@ -139,7 +141,7 @@
 	case inheritUse:
 		d.core.InheritUse(m.former, now)
 	case setClockOffset:
-		d.clockOffset = m.offset
+		d.clockOffset, d.storeOffset = m.offset, m.store
 	case closeConnections:
 		d.closesConnections = true
 	case stopAccepting:
--- a/daemon/entry/dispatcher_limits.go
+++ b/daemon/entry/dispatcher_limits.go
@@ -71,8 +71,7 @@
 			continue
 		}
 		if news.Instance == "" {
-			news.Instance = d.instance
-			news.Used, news.Reserves = d.core.TellUse(now)
+			news = d.ownNews(now)
 		}
 		d.peers.tellUse(partner.Address, news, func(n exchange.HolderNews, err error) {
 			offerResult(d.inbox, dispatchMessage(useHeard{instance: partner.Instance, sentAt: now, news: n, err: err}), d.log)
@@ -88,10 +87,8 @@
 		d.replyPeer(m.exchange, http.StatusBadRequest, nil)
 		return
 	}
-	d.core.HearUse(news.Instance, news.Used, news.Reserves, now.Add(-max(news.Age, 0)), now)
-	own := exchange.HolderNews{Instance: d.instance}
-	own.Used, own.Reserves = d.core.TellUse(now)
-	body, err := own.Encode()
+	d.hearNews(news, now)
+	body, err := d.ownNews(now).Encode()
 	if err != nil {
 		d.log.Error().Str("cause", err.Error()).Msg("holder_news_not_encoded")
 		d.replyPeer(m.exchange, http.StatusInternalServerError, nil)
@@ -100,6 +97,26 @@
 	d.replyPeer(m.exchange, http.StatusOK, body)
 }
 
+// ownNews returns what this gateway tells other holders.
+func (d *dispatcher) ownNews(now clock.Instant) exchange.HolderNews {
+	news := exchange.HolderNews{Instance: d.instance}
+	news.Used, news.Reserves = d.core.TellUse(now)
+	if d.storeOffset != 0 {
+		news.CountedAt = time.Duration(now) + d.storeOffset
+	}
+	return news
+}
+
+// hearNews takes over what another holder has told. It may have come late: a holder that
+// gets no response in time gives up, but what it has sent may still arrive.
+func (d *dispatcher) hearNews(news exchange.HolderNews, now clock.Instant) {
+	countedAt := now
+	if news.CountedAt > 0 && d.storeOffset != 0 {
+		countedAt = min(now, clock.Instant(news.CountedAt-d.storeOffset))
+	}
+	d.core.HearUse(news.Instance, news.Used, news.Reserves, countedAt, now)
+}
+
 // handleUse takes over the response of another holder. It was counted after the news was
 // sent to it. If another gateway has got the address meanwhile, it is that one's.
 func (d *dispatcher) handleUse(m useHeard, now clock.Instant) {
--- a/serving/exchange/holder_news.go
+++ b/serving/exchange/holder_news.go
@@ -15,6 +15,7 @@
 	// it may use beyond that.
 	Used     map[string]limit.Use     `cbor:"2,keyasint,omitempty"`
 	Reserves map[string]limit.Reserve `cbor:"3,keyasint,omitempty"`
-	// Age is the time from the count to the sending.
-	Age time.Duration `cbor:"4,keyasint,omitempty"`
+	// CountedAt is when the sender counted that, by the store's clock; 0 if it does not
+	// know that clock.
+	CountedAt time.Duration `cbor:"5,keyasint,omitempty"`
 }
