--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -104,8 +104,9 @@
 }
 
 func newDispatcher(s *Settings, log zerolog.Logger, registry *prometheus.Registry, inbox *ring.Ring[dispatchMessage], delivery *ring.Ring[deliveryMessage]) *dispatcher {
+	incarnation := uint64(time.Now().UnixNano())
 	core := dispatch.New(dispatch.Config{
-		Holder:      attempt.Holder{Instance: s.Instance, Incarnation: uint64(time.Now().UnixNano())},
+		Holder:      attempt.Holder{Instance: s.Instance, Incarnation: incarnation},
 		ClaimWindow: attempt.Window{Length: s.AttemptWindow, Margin: s.AttemptWindow / 50},
 		MaxRequests: s.MaxRequests,
 		MaxAttempts: s.MaxAttempts,
@@ -119,6 +120,7 @@
 			delivery:      delivery,
 			failureDomain: s.FailureDomain,
 			log:           log,
+			lastNumber:    incarnation,
 			gateways:      make(map[string]wire.Hello),
 			offers:        make(map[uint64]pendingOffer),
 			sources:       make(map[uint64]offerSource),
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -27,7 +27,8 @@
 	gateways      map[string]wire.Hello
 	rotation      int // counts the gateways chosen, for round robin
 	// lastNumber is the last number given to an offer made (its correlation) or
-	// to an offer received (its token in the core).
+	// to an offer received (its token in the core). The numbers of each process begin
+	// elsewhere: a reply to an offer of a former one may come to the next.
 	lastNumber uint64
 	offers     map[uint64]pendingOffer
 	sources    map[uint64]offerSource
