--- a/edge/httpc/connection.go
+++ b/edge/httpc/connection.go
@@ -201,7 +201,7 @@
 		return nil
 	}
 	if got := c.header.Get(call.EchoHeader); want != got {
-		return &MismatchError{Field: call.EchoHeader, Want: want, Got: got}
+		return &MismatchError{Field: call.EchoHeader, Want: want, Got: got, Status: c.status}
 	}
 	return nil
 }
--- a/edge/httpc/mismatch_error.go
+++ b/edge/httpc/mismatch_error.go
@@ -1,5 +1,7 @@
 package httpc
 
+import "strconv"
+
 // MismatchError is the cause when a response belongs to another request than the
 // one outstanding on its connection.
 type MismatchError struct {
@@ -9,9 +11,11 @@
 	Want string
 	// Got is its value in the response.
 	Got string
+	// Status is the status of the response.
+	Status int
 }
 
 // Error implements error.
 func (e *MismatchError) Error() string {
-	return "response to another request: " + e.Field + " is " + e.Got + ", want " + e.Want
+	return "response to another request: " + e.Field + " is " + e.Got + ", want " + e.Want + ", status " + strconv.Itoa(e.Status)
 }
