--- a/edge/httpc/check_head.go
+++ b/edge/httpc/check_head.go
@@ -12,8 +12,12 @@
 	foldedTab  = []byte("\r\n\t")
 )
 
-// statusLineBytes is the length of a status line up to the space after the status.
-const statusLineBytes = len("HTTP/1.1 200 ")
+const (
+	// statusBytes is the length of a status line up to the end of the status, and
+	// statusLineBytes that up to the space after it.
+	statusBytes     = len("HTTP/1.1 200")
+	statusLineBytes = statusBytes + len(" ")
+)
 
 // checkHead checks what the parser does not: that a head starts with a status line, and
 // that no second one is in it. A server that fails may send the beginning of a response
@@ -32,14 +36,15 @@
 	}
 }
 
-// containsStatusLine reports whether a status line starts anywhere in a text.
+// containsStatusLine reports whether a status line starts anywhere in a text, with a
+// reason phrase or without one.
 func containsStatusLine(text []byte) bool {
 	for {
 		at := bytes.Index(text, statusLineStart)
 		if at < 0 {
 			return false
 		}
-		if isStatusLine(text[at:]) {
+		if startsWithStatus(text[at:]) {
 			return true
 		}
 		text = text[at+1:]
@@ -49,14 +54,19 @@
 // isStatusLine reports whether a text starts with a version, a status and the first
 // letter of a reason phrase. The parser does not support an empty reason phrase.
 func isStatusLine(text []byte) bool {
+	return startsWithStatus(text) && len(text) > statusLineBytes &&
+		text[statusLineBytes-1] == ' ' && isLetter(text[statusLineBytes])
+}
+
+// startsWithStatus reports whether a text starts with a version and a status.
+func startsWithStatus(text []byte) bool {
 	version := len(statusLineStart)
-	if len(text) <= statusLineBytes || !bytes.HasPrefix(text, statusLineStart) {
+	if len(text) < statusBytes || !bytes.HasPrefix(text, statusLineStart) {
 		return false
 	}
 	status := text[version+2 : version+5]
 	return isDigit(text[version]) && text[version+1] == ' ' &&
-		isDigit(status[0]) && isDigit(status[1]) && isDigit(status[2]) &&
-		text[statusLineBytes-1] == ' ' && isLetter(text[statusLineBytes])
+		isDigit(status[0]) && isDigit(status[1]) && isDigit(status[2])
 }
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
