--- a/edge/httpc/client.go
+++ b/edge/httpc/client.go
@@ -156,7 +156,8 @@
 }
 
 // takeIdle removes from the pool the most recently used connection to the address of a
-// call that has not carried its ID, and returns it; nil if there is none.
+// call that has not carried its ID, and returns it. If all have carried it, takeIdle closes
+// the least recently used one, in whose place a new one comes, and returns nil.
 func (c *Client) takeIdle(call *Call) *connection {
 	list := c.idle[call.Address]
 	defer func() { c.setIdle(call.Address, list) }()
@@ -177,6 +178,10 @@
 			pollers.Shutdown(conn.conn)
 		}
 	}
+	if len(list) > 0 {
+		pollers.Shutdown(list[0].conn)
+		list = slices.Delete(list, 0, 1)
+	}
 	return nil
 }
 
