--- a/edge/httpc/call.go
+++ b/edge/httpc/call.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -66,13 +67,13 @@
 	skipped  int
 }
 
-// id returns the value that the response must repeat. The result is false if the
-// response need not repeat any.
+// id returns the value that the response must repeat, as encode writes it: without white
+// space around it. The result is false if the response need not repeat any.
 func (c *Call) id() (string, bool) {
 	if c.EchoHeader == "" {
 		return "", false
 	}
-	return c.Header.Get(c.EchoHeader), true
+	return textproto.TrimString(c.Header.Get(c.EchoHeader)), true
 }
 
 // encode returns the request in wire format.
