httpc: a call that expires unsent does not renew an idle connection

What callers could see: a request sent over a connection that its server was about to close, and answered 502 although nothing was wrong with either. A call that reached its limit unsent put the connection back as if it had just been used, so that it was taken after four fifths of the server's keep-alive.

Evidence: unsent_stale_test failed before (the third call went over the first connection, 0.9 s after its last response, with Keep-Alive: timeout=1) and passes now: idleSince and the read deadline stay as they were.

--- a/edge/httpc/client.go
+++ b/edge/httpc/client.go
@@ -201,12 +201,12 @@
 	out, err := call.encode()
 	if err != nil {
 		call.Sink.Failed(&NotSentError{Address: call.Address, Err: err})
-		c.putIdle(conn)
+		c.putBack(conn)
 		return true
 	}
 	if call.NotAfter != 0 && !(clock.System{}).Now().Before(call.NotAfter) {
 		call.Sink.Failed(&NotSentError{Address: call.Address, Err: &ExpiredError{}})
-		c.putIdle(conn)
+		c.putBack(conn)
 		return true
 	}
 	_ = conn.conn.SetReadDeadline(deadline(call.Timeout))
@@ -242,6 +242,16 @@
 	}
 }
 
+// putBack returns a connection to the pool over which nothing was sent since it was taken
+// or made. It counts as idle for as long as before.
+func (c *Client) putBack(conn *connection) {
+	if conn.idleSince.IsZero() {
+		c.putIdle(conn)
+		return
+	}
+	c.idle[conn.address] = append(c.idle[conn.address], conn)
+}
+
 // putIdle adds a connection to the pool, or closes it if the pool is full or the
 // connection can carry no further IDs.
 func (c *Client) putIdle(conn *connection) {
