httpc: the random specs of copies keep what belongs to a thread there

A mutex stood outside of ring, thread and libraries; each connection and each caller has a record of its own now, which is read after its thread has ended.

--- a/edge/httpc/repeated_id_soak_test.go
+++ b/edge/httpc/repeated_id_soak_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -20,14 +19,21 @@
 )
 
 // copyingServer refuses or runs requests at random, some before it has read their bodies,
-// and sends copies of the refusals of a connection, whole or cut, at any time on it. ran
-// has the field Seq of the requests that it has run.
+// and sends copies of the refusals of a connection, whole or cut, at any time on it.
 type copyingServer struct {
 	listener net.Listener
 	seed     uint64
-	mu       sync.Mutex
-	ran      map[string]bool
-	again    int
+	// runs are those of each connection. The thread of a connection owns its entry until
+	// run has returned.
+	runs []*connectionRuns
+}
+
+// connectionRuns are the requests that have run on one connection.
+type connectionRuns struct {
+	// seqs has the field Seq of each.
+	seqs []string
+	// again counts those with an ID that the connection had refused.
+	again int
 }
 
 func (s *copyingServer) run() error {
@@ -40,8 +46,10 @@
 		}
 		accepted = append(accepted, conn)
 		random := rand.New(rand.NewPCG(s.seed, uint64(len(accepted))))
+		runs := &connectionRuns{}
+		s.runs = append(s.runs, runs)
 		threads = append(threads, thread.Start("copying-connection", func() error {
-			s.serve(conn, random)
+			s.serve(conn, random, runs)
 			return nil
 		}))
 	}
@@ -76,7 +84,7 @@
 	return text + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 }
 
-func (s *copyingServer) serve(conn net.Conn, random *rand.Rand) {
+func (s *copyingServer) serve(conn net.Conn, random *rand.Rand, runs *connectionRuns) {
 	defer func() { _ = conn.Close() }()
 	refusals, refusedAs := map[string]string{}, map[string]bool{}
 	reader := bufio.NewReader(conn)
@@ -121,12 +129,10 @@
 			refusals[id] = s.encode(random, http.StatusServiceUnavailable, id)
 			_, _ = io.WriteString(conn, refusals[id])
 		} else {
-			s.mu.Lock()
-			s.ran[r.Header.Get("Seq")] = true
+			runs.seqs = append(runs.seqs, r.Header.Get("Seq"))
 			if refusedAs[r.Header.Get("Exact")] {
-				s.again++
+				runs.again++
 			}
-			s.mu.Unlock()
 			if refusals[id] != "" {
 				writeCopy(id)
 			}
@@ -151,15 +157,17 @@
 	)
 	ln, err := net.Listen("tcp", "127.0.0.2:0")
 	Expect(err).NotTo(HaveOccurred())
-	server := &copyingServer{listener: ln, seed: seed, ran: map[string]bool{}}
+	server := &copyingServer{listener: ln, seed: seed}
 	client := httpc.New(httpc.Config{})
 	Expect(client.Open()).To(Succeed())
 	threads := []*thread.Thread{thread.Start("client", client.Run), thread.Start("server", server.run)}
 	ids := []string{"a", "A", " a", "a ", "b", "a\t", "c", "d", ""}
-	var mu sync.Mutex
-	refused, answered, failures := []string{}, []string{}, 0
+	// outcomes are the calls of each worker by their outcome.
+	type outcomes struct{ refused, answered, failed []string }
+	byWorker := make([]outcomes, workers)
 	var callers []*thread.Thread
 	for w := range workers {
+		own := &byWorker[w]
 		random := rand.New(rand.NewPCG(seed, uint64(1000+w)))
 		callers = append(callers, thread.Start("caller", func() error {
 			for i := range calls {
@@ -184,16 +192,14 @@
 				if err != nil {
 					return err
 				}
-				mu.Lock()
 				switch {
 				case failed != nil:
-					failures++
+					own.failed = append(own.failed, seq)
 				case r.status == http.StatusOK:
-					answered = append(answered, seq)
+					own.answered = append(own.answered, seq)
 				default:
-					refused = append(refused, seq)
+					own.refused = append(own.refused, seq)
 				}
-				mu.Unlock()
 			}
 			return nil
 		}))
@@ -206,14 +212,27 @@
 	for _, t := range threads {
 		Expect(t.Join()).To(Succeed())
 	}
-	GinkgoWriter.Printf("refused %d answered %d failed %d, sent again on one connection %d\n", len(refused), len(answered), failures, server.again)
-	Expect(len(refused)).To(BeNumerically(">", calls/10))
-	Expect(len(answered)).To(BeNumerically(">", calls/10))
-	for _, seq := range refused {
-		Expect(server.ran).NotTo(HaveKey(seq), "refused, but ran")
+	ran, again := make(map[string]bool), 0
+	for _, runs := range server.runs {
+		again += runs.again
+		for _, seq := range runs.seqs {
+			ran[seq] = true
+		}
+	}
+	var all outcomes
+	for _, own := range byWorker {
+		all.refused = append(all.refused, own.refused...)
+		all.answered = append(all.answered, own.answered...)
+		all.failed = append(all.failed, own.failed...)
+	}
+	GinkgoWriter.Printf("refused %d answered %d failed %d, sent again on one connection %d\n", len(all.refused), len(all.answered), len(all.failed), again)
+	Expect(len(all.refused)).To(BeNumerically(">", calls/10))
+	Expect(len(all.answered)).To(BeNumerically(">", calls/10))
+	for _, seq := range all.refused {
+		Expect(ran).NotTo(HaveKey(seq), "refused, but ran")
 	}
-	for _, seq := range answered {
-		Expect(server.ran).To(HaveKey(seq))
+	for _, seq := range all.answered {
+		Expect(ran).To(HaveKey(seq))
 	}
-	Expect(server.again).To(BeZero(), "runs on a connection that had refused the same ID")
+	Expect(again).To(BeZero(), "runs on a connection that had refused the same ID")
 }, Entry("seed 1", uint64(1)), Entry("seed 2", uint64(2)), Entry("seed 3", uint64(3)), Entry("seed 4", uint64(4)))
