--- a/daemon/entry/attempt_rejected.go
+++ b/daemon/entry/attempt_rejected.go
@@ -15,8 +15,8 @@
 	if m.head.Misdirected {
 		why = rejectedMisdirected
 	}
-	d.metrics.rejected.WithLabelValues(why).Inc()
+	d.metrics.recordRejected(why, m.sent)
 	d.log.Info().Str("id", o.id()).Int("attempt", m.ref.Attempt).Str("why", why).Int("status", m.head.Status).
-		Str("address", m.sent.Address).Uint64("connection", m.sent.Connection).Int("connection_calls", m.sent.Calls).Int("connections_skipped", m.sent.Skipped).
+		Str("address", m.sent.Address).Uint64("connection", m.sent.Connection).Int("connection_calls", m.sent.Calls).Bool("repeats_id", m.sent.RepeatsID).Int("connections_skipped", m.sent.Skipped).
 		Int64("answer_us", now.Sub(m.sent.At).Microseconds()).Msg("attempt_rejected")
 }
--- a/daemon/entry/metrics.go
+++ b/daemon/entry/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
 	"github.com/sycamorecourse/sycamorecourse/serving/relay"
 )
 
@@ -51,8 +52,8 @@
 		}, []string{"route", "starting"}),
 		rejected: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamore_attempts_rejected_total",
-			Help: "Attempts that an upstream said it has not run, by why.",
-		}, []string{"why"}),
+			Help: "Attempts that an upstream said it has not run, by why, and whether the connection had carried the request before.",
+		}, []string{"why", "repeats_id"}),
 		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "sycamore_first_event_seconds",
 			Help:    "Time from a request's arrival to the first event of its answer, by route.",
@@ -131,3 +132,8 @@
 	m.promptTokens.WithLabelValues("all").Set(float64(counts.PromptTokens))
 	m.promptTokens.WithLabelValues("cached").Set(float64(counts.CachedTokens))
 }
+
+// recordRejected counts an attempt that its upstream says it has not run.
+func (m *metrics) recordRejected(why string, s httpc.Sent) {
+	m.rejected.WithLabelValues(why, strconv.FormatBool(s.RepeatsID)).Inc()
+}
--- a/edge/httpc/client.go
+++ b/edge/httpc/client.go
@@ -165,18 +165,17 @@
 	now := time.Now()
 	for i := len(list) - 1; i >= 0; i-- {
 		conn := list[i]
-		isUsable := !conn.isStale(now) && pollers.IsQuiet(conn.conn)
-		if isUsable && conn.hasCarried(call) {
+		if conn.isStale(now) || !pollers.IsQuiet(conn.conn) {
+			list = slices.Delete(list, i, i+1)
+			pollers.Shutdown(conn.conn)
+			continue
+		}
+		if conn.hasCarried(call) {
 			call.skipped++
 			continue
 		}
 		list = slices.Delete(list, i, i+1)
-		if isUsable {
-			return conn
-		}
-		if !conn.isClosed() {
-			pollers.Shutdown(conn.conn)
-		}
+		return conn
 	}
 	if len(list) > 0 {
 		pollers.Shutdown(list[0].conn)
--- a/edge/httpc/connection.go
+++ b/edge/httpc/connection.go
@@ -208,7 +208,10 @@
 
 // describeSend returns how a call is about to be sent.
 func (c *connection) describeSend(call *Call) Sent {
-	return Sent{At: clock.System{}.Now(), Address: c.address, Connection: c.number, Calls: c.calls, Skipped: call.skipped}
+	return Sent{
+		At: clock.System{}.Now(), Address: c.address, Connection: c.number, Calls: c.calls,
+		RepeatsID: c.hasCarried(call), Skipped: call.skipped,
+	}
 }
 
 // recordSend records that the connection carries a call.
--- a/edge/httpc/repeated_id_test.go
+++ b/edge/httpc/repeated_id_test.go
@@ -106,15 +106,19 @@
 		return string(r.body), sent
 	}
 
-	It("sends each over another connection", func() {
+	DescribeTable("sends each over another connection", func(id string) {
 		used := make(map[string]bool)
 		for i := range 5 {
-			connection, sent := call("same")
+			connection, sent := call(id)
 			Expect(used).NotTo(HaveKey(connection))
 			Expect(sent.Skipped).To(Equal(min(i, 1)))
+			Expect(sent.RepeatsID).To(BeFalse())
 			used[connection] = true
 		}
-	})
+	},
+		Entry("an ID", "same"),
+		Entry("the empty ID, as which a missing one counts", ""),
+	)
 
 	It("goes on using a connection for other IDs", func() {
 		first, _ := call("first")
--- a/edge/httpc/sent.go
+++ b/edge/httpc/sent.go
@@ -12,6 +12,8 @@
 	Connection uint64
 	// Calls is the number of calls that the connection had carried before.
 	Calls int
+	// RepeatsID is true if one of them had the same ID, which should never be.
+	RepeatsID bool
 	// Skipped is the number of idle connections that were not used since they had carried
 	// a call with the same ID.
 	Skipped int
