--- a/daemon/controller/engine_result.go
+++ b/daemon/controller/engine_result.go
@@ -6,6 +6,8 @@
 // order.
 type engineResult struct {
 	instance string
-	state    *order.State
-	err      error
+	// tenure is that in which the call was made.
+	tenure uint64
+	state  *order.State
+	err    error
 }
--- a/daemon/controller/orders.go
+++ b/daemon/controller/orders.go
@@ -34,7 +34,9 @@
 	settings *Settings
 	counters *counters
 
-	grant         grant
+	grant grant
+	// tenure counts the times that the lease was acquired.
+	tenure        uint64
 	takeoverDelay lease.TakeoverDelay
 	engines       map[string]*order.Engine
 	reported      map[string]bool
@@ -101,6 +103,7 @@
 // beginTenure starts acting under a newly acquired lease: the state of every
 // engine is read again before its first order.
 func (o *ordersDuty) beginTenure(g grant) {
+	o.tenure++
 	o.takeoverDelay = lease.NewTakeoverDelay(g.acquired, maxOrderDuration)
 	for _, e := range o.engines {
 		e.MustReadBack = true
@@ -150,8 +153,8 @@
 	e.Busy = true
 	o.counters.orders.Inc()
 	o.log.Info().Str("instance", e.Instance).Str("pool", e.Pool).Uint64("fence", o.grant.fence).Msg("order_given")
-	instance := e.Instance
-	o.client.Order(e.Address, o.grant.fence, e.Desired, func(s *order.State, err error) { o.enqueueResult(instance, s, err) })
+	r := engineResult{instance: e.Instance, tenure: o.tenure}
+	o.client.Order(e.Address, o.grant.fence, e.Desired, func(s *order.State, err error) { o.enqueueResult(r, s, err) })
 }
 
 func (o *ordersDuty) readState(e *order.Engine) {
@@ -159,13 +162,14 @@
 		return
 	}
 	e.Busy = true
-	instance := e.Instance
-	o.client.State(e.Address, func(s *order.State, err error) { o.enqueueResult(instance, s, err) })
+	r := engineResult{instance: e.Instance, tenure: o.tenure}
+	o.client.State(e.Address, func(s *order.State, err error) { o.enqueueResult(r, s, err) })
 }
 
 // enqueueResult runs on a thread of the client.
-func (o *ordersDuty) enqueueResult(instance string, s *order.State, err error) {
-	_ = o.inbox.OfferReserved(ordersEvent{result: &engineResult{instance: instance, state: s, err: err}})
+func (o *ordersDuty) enqueueResult(r engineResult, s *order.State, err error) {
+	r.state, r.err = s, err
+	_ = o.inbox.OfferReserved(ordersEvent{result: &r})
 }
 
 func (o *ordersDuty) onResult(r *engineResult) {
@@ -174,6 +178,10 @@
 		return
 	}
 	e.Busy = false
+	if r.tenure != o.tenure {
+		// The state may be older than an order of another controller: it is read again.
+		return
+	}
 	now := o.clock.Now()
 	if r.err == nil {
 		e.RecordState(r.state, now)
--- a/daemon/controller/orders_test.go
+++ b/daemon/controller/orders_test.go
@@ -17,17 +17,24 @@
 )
 
 // memoryEngine is an in-memory engine that all duties of a test share. While
-// holdOrders is set, orders wait in heldOrders until the test applies them.
+// holdOrders is set, orders wait in heldOrders until the test applies them. While
+// holdReads is set, the results of reads wait in heldReads.
 type memoryEngine struct {
 	checksFencing  bool
 	state          order.State
 	acceptedFences []uint64
 	holdOrders     bool
 	heldOrders     []func()
+	holdReads      bool
+	heldReads      []func()
 }
 
 func (e *memoryEngine) State(_ string, done func(*order.State, error)) {
 	s := e.state
+	if e.holdReads {
+		e.heldReads = append(e.heldReads, func() { done(&s, nil) })
+		return
+	}
 	done(&s, nil)
 }
 
@@ -164,6 +171,35 @@
 				Expect(engine.state.Models).To(ConsistOf(HaveField("Version", "2")))
 				Expect(engine.acceptedFences[len(engine.acceptedFences)-1]).To(BeEquivalentTo(2))
 			})
+
+			// Guards against an engine that keeps a wrong state since what it reported before
+			// the lease was lost counts as the read that a new tenure begins with.
+			It("does not take a read from before its tenure for one of it", func() {
+				first.step()
+				clk.Advance(time.Second)
+				first.step()
+				Expect(first.isServing()).To(BeTrue())
+				engine.holdReads = true
+				clk.Advance(time.Minute)
+				first.snapshot.grant = grants(1)
+				first.step()
+				Expect(engine.heldReads).To(HaveLen(1))
+				engine.holdReads = false
+				// Another controller holds the lease for a while, and gives another order.
+				second := newOrdersFixture(clk, engine, "2", grants(2))
+				second.step()
+				clk.Advance(maxOrderDuration)
+				second.step()
+				Expect(engine.state.Models).To(ConsistOf(HaveField("Version", "2")))
+				first.snapshot.grant = grants(3)
+				first.step()
+				engine.heldReads[0]()
+				first.drain()
+				Expect(first.duty.engines["i-1"].State.Models).To(Equal(engine.state.Models))
+				clk.Advance(maxOrderDuration)
+				first.step()
+				Expect(engine.state.Models).To(ConsistOf(HaveField("Version", "1")))
+			})
 		})
 	}
 })
