--- a/daemon/controller/engine_result.go
+++ b/daemon/controller/engine_result.go
@@ -5,7 +5,7 @@
 // engineResult is the result of reading an engine's state or sending it an
 // order.
 type engineResult struct {
-	instance string
+	engine *order.Engine
 	// tenure is that in which the call was made.
 	tenure uint64
 	state  *order.State
--- a/daemon/controller/orders.go
+++ b/daemon/controller/orders.go
@@ -153,7 +153,7 @@
 	e.Busy = true
 	o.counters.orders.Inc()
 	o.log.Info().Str("instance", e.Instance).Str("pool", e.Pool).Uint64("fence", o.grant.fence).Msg("order_given")
-	r := engineResult{instance: e.Instance, tenure: o.tenure}
+	r := engineResult{engine: e, tenure: o.tenure}
 	o.client.Order(e.Address, o.grant.fence, e.Desired, func(s *order.State, err error) { o.enqueueResult(r, s, err) })
 }
 
@@ -162,7 +162,7 @@
 		return
 	}
 	e.Busy = true
-	r := engineResult{instance: e.Instance, tenure: o.tenure}
+	r := engineResult{engine: e, tenure: o.tenure}
 	o.client.State(e.Address, func(s *order.State, err error) { o.enqueueResult(r, s, err) })
 }
 
@@ -173,8 +173,9 @@
 }
 
 func (o *ordersDuty) onResult(r *engineResult) {
-	e := o.engines[r.instance]
-	if e == nil {
+	e := r.engine
+	if o.engines[e.Instance] != e {
+		// It has been missing since the call was made.
 		return
 	}
 	e.Busy = false
--- a/daemon/controller/orders_test.go
+++ b/daemon/controller/orders_test.go
@@ -200,6 +200,25 @@
 				first.step()
 				Expect(engine.state.Models).To(ConsistOf(HaveField("Version", "1")))
 			})
+
+			// Guards against an engine that gets a second call while one is in progress since
+			// the result of an earlier one, from before it was missing, counts for it.
+			It("does not take a result for an engine that was missing meanwhile", func() {
+				engine.holdReads = true
+				first.step()
+				instances := first.snapshot.instances
+				first.snapshot.instances = nil
+				first.step()
+				first.snapshot.instances = instances
+				first.step()
+				Expect(engine.heldReads).To(HaveLen(2))
+				engine.heldReads[0]()
+				first.drain()
+				Expect(first.duty.engines["i-1"].Busy).To(BeTrue())
+				engine.heldReads[1]()
+				first.drain()
+				Expect(first.duty.engines["i-1"].State).NotTo(BeNil())
+			})
 		})
 	}
 })
