--- a/daemon/entry/news_received.go
+++ b/daemon/entry/news_received.go
@@ -9,8 +9,10 @@
 type newsReceived struct {
 	hub    string
 	sentAt clock.Instant
-	news   exchange.News
-	err    error
+	// request is the poll.
+	request exchange.Poll
+	news    exchange.News
+	err     error
 }
 
 func (newsReceived) isPeerMessage() {}
--- a/daemon/entry/peers.go
+++ b/daemon/entry/peers.go
@@ -122,18 +122,24 @@
 		p.log.Warn().Str("cause", err.Error()).Msg("call_not_made")
 		return
 	}
-	last := p.positions[hub.Instance]
+	request := p.request(hub.Instance)
+	p.polling = true
+	p.polls++
+	p.client.poll(hub.PeerAddress, request, func(n exchange.News, err error) {
+		offerResult(p.inbox, peerMessage(newsReceived{hub: hub.Instance, sentAt: now, request: request, news: n, err: err}), p.log)
+	})
+}
+
+// request returns the poll of a hub.
+func (p *peers) request(hub string) exchange.Poll {
+	last := p.positions[hub]
 	request := exchange.Poll{
 		Record: p.own, Hub: last.Hub, Position: last.Position, IsHub: p.plan.IsHub(), NeedsCounts: p.needsCounts || p.plan.IsHub(),
 	}
 	if !p.plan.IsHub() {
 		request.Versions = p.versions()
 	}
-	p.polling = true
-	p.polls++
-	p.client.poll(hub.PeerAddress, request, func(n exchange.News, err error) {
-		offerResult(p.inbox, peerMessage(newsReceived{hub: hub.Instance, sentAt: now, news: n, err: err}), p.log)
-	})
+	return request
 }
 
 // versions returns the versions of the copied tables.
@@ -146,7 +152,8 @@
 }
 
 // handleNews takes over the news of a hub. After a failure the next hub is polled at
-// once.
+// once. News without counts that have become necessary since the poll is no progress:
+// the next poll asks for all records.
 func (p *peers) handleNews(m newsReceived, now clock.Instant) {
 	p.polling = false
 	if m.err != nil {
@@ -158,7 +165,9 @@
 	}
 	p.plan.Succeeded(m.hub)
 	p.newsAt, p.lastHub = now, m.hub
-	p.positions[m.hub] = exchange.News{Hub: m.news.Hub, Position: m.news.Position}
+	if m.request.NeedsCounts || !p.needsCounts {
+		p.positions[m.hub] = exchange.News{Hub: m.news.Hub, Position: m.news.Position}
+	}
 	for _, r := range m.news.Records {
 		p.records.Put(r)
 	}
--- a/daemon/entry/peers_test.go
+++ b/daemon/entry/peers_test.go
@@ -223,3 +223,21 @@
 		}, time.Second, 100*time.Millisecond).Should(BeZero())
 	})
 })
+
+// Guards against usage that is reported too low: the counts of a gateway that has died
+// since are asked for once, and an answer to a poll from before does not have them.
+var _ = ginkgo.It("Peers ask for the counts of all records, also if a poll without them is under way", func() {
+	p := newPeers("g", "d")
+	p.cluster, p.watch, p.clock, p.log = ring.New[clusterMessage]("cluster", 8), ring.New[watchMessage]("watch", 8), clock.System{}, zerolog.Nop()
+	now := clock.System{}.Now()
+	own := cluster.Record{Instance: "g", Incarnation: 1, Sequence: 1}
+	p.handle(setOwnRecord{record: own}, now)
+	asked := p.request("hub")
+	p.handle(setOwnRecord{record: own, needsCounts: true}, now)
+	p.handle(newsReceived{hub: "hub", sentAt: now, request: asked, news: exchange.News{Hub: 7, Position: 40}}, now)
+	again := p.request("hub")
+	Expect(again.NeedsCounts).To(BeTrue())
+	Expect(again.Position).To(BeZero())
+	p.handle(newsReceived{hub: "hub", sentAt: now, request: again, news: exchange.News{Hub: 7, Position: 41}}, now)
+	Expect(p.request("hub").Position).To(BeEquivalentTo(41))
+})
