--- a/serving/spread/configuration_report.go
+++ b/serving/spread/configuration_report.go
@@ -1,12 +1,12 @@
 package spread
 
 // ConfigurationReport tells which processes hold a configuration version or a
-// higher one: by the hashes of their IDs or, in less space, by a bitmap over
+// higher one: by their names or, in less space, by a bitmap over
 // the list of members.
 type ConfigurationReport struct {
 	// Version is the configuration version.
 	Version uint64 `cbor:"1,keyasint"`
-	// Holders are the hashes of the IDs of holders.
+	// Holders are the names of holders, see Member.holderName.
 	Holders []uint64 `cbor:"2,keyasint,omitempty"`
 	// Members is the digest of the list of members that Bitmap refers to. A
 	// receiver whose list has another digest ignores Bitmap.
--- a/serving/spread/member.go
+++ b/serving/spread/member.go
@@ -40,6 +40,17 @@
 	return m.State > o.State
 }
 
+// holderName returns the hash that names the process in reports. Each incarnation has
+// another one, so that no report of a former incarnation counts for it.
+func (m *Member) holderName() uint64 {
+	const decimal = 10
+	b := make([]byte, 0, len(m.ID)+32)
+	b = append(b, m.ID...)
+	b = append(b, 0)
+	b = strconv.AppendUint(b, m.Incarnation, decimal)
+	return xxhash.Sum64(b)
+}
+
 // digest hashes the ID and the fields that Supersedes compares.
 func (m *Member) digest() uint64 {
 	const decimal = 10
--- a/serving/spread/member_index.go
+++ b/serving/spread/member_index.go
@@ -10,8 +10,8 @@
 type memberIndex struct {
 	// digest is that of the memberList.
 	digest uint64
-	// hashes are the hashes of the members' IDs, by number.
-	hashes []uint64
+	// names are the members' holderNames, by number.
+	names []uint64
 }
 
 func newMemberIndex(l *memberList) *memberIndex {
@@ -24,7 +24,8 @@
 	slices.Sort(ids)
 	x := &memberIndex{digest: l.digest}
 	for _, id := range ids {
-		x.hashes = append(x.hashes, hashOf(id))
+		m := l.members[id]
+		x.names = append(x.names, m.holderName())
 	}
 	return x
 }
@@ -32,8 +33,8 @@
 // bitmap encodes a set of holders. Holders that are not in the index are left
 // out.
 func (x *memberIndex) bitmap(holders map[uint64]bool) []byte {
-	bits := make([]byte, (len(x.hashes)+bitsPerByte-1)/bitsPerByte)
-	for i, h := range x.hashes {
+	bits := make([]byte, (len(x.names)+bitsPerByte-1)/bitsPerByte)
+	for i, h := range x.names {
 		if holders[h] {
 			bits[i/bitsPerByte] |= 1 << (i % bitsPerByte)
 		}
@@ -41,13 +42,28 @@
 	return bits
 }
 
-// holders decodes a bitmap to the hashes of the members whose bits are set.
+// holders decodes a bitmap to the names of the members whose bits are set.
 func (x *memberIndex) holders(bitmap []byte) []uint64 {
 	var out []uint64
-	for i, h := range x.hashes {
+	for i, h := range x.names {
 		if i/bitsPerByte < len(bitmap) && bitmap[i/bitsPerByte]&(1<<(i%bitsPerByte)) != 0 {
 			out = append(out, h)
 		}
 	}
 	return out
 }
+
+// present returns those of some holders that are in the index.
+func (x *memberIndex) present(holders []uint64) []uint64 {
+	wanted := make(map[uint64]bool, len(holders))
+	for _, h := range holders {
+		wanted[h] = true
+	}
+	var out []uint64
+	for _, h := range x.names {
+		if wanted[h] {
+			out = append(out, h)
+		}
+	}
+	return out
+}
--- a/serving/spread/node.go
+++ b/serving/spread/node.go
@@ -125,6 +125,7 @@
 	case *MemberUpdate:
 		n.forgetRestarted(m.Members)
 		n.propagateMembers(now, n.members.merge(now, m.Members), from)
+		n.reportSelf(now)
 	}
 	return n.flush()
 }
@@ -218,7 +219,7 @@
 	p := Progress{Version: version}
 	for _, m := range n.Members() {
 		switch {
-		case n.reports.highest[hashOf(m.ID)] >= version:
+		case n.reports.highest[m.holderName()] >= version:
 			p.Holders = append(p.Holders, m.ID)
 		case m.State != Gone:
 			p.Missing = append(p.Missing, m.ID)
--- a/serving/spread/node_links.go
+++ b/serving/spread/node_links.go
@@ -83,7 +83,7 @@
 	}
 	for _, m := range changed {
 		if m.State == Gone {
-			n.reports.remove(m.ID)
+			n.reports.remove(m)
 		}
 	}
 	n.emit(MembersChanged{Changed: changed})
@@ -96,7 +96,7 @@
 func (n *Node) forgetRestarted(updates []Member) {
 	for _, m := range updates {
 		if old, ok := n.members.members[m.ID]; ok && m.Incarnation > old.Incarnation {
-			n.reports.remove(m.ID)
+			n.reports.remove(old)
 		}
 	}
 }
--- a/serving/spread/node_sync.go
+++ b/serving/spread/node_sync.go
@@ -111,20 +111,30 @@
 	n.configuration = c
 	n.pulls[TopicConfiguration].from = ""
 	n.emit(ConfigurationChanged{Configuration: c, From: from})
-	n.addReport(now, c.Version, []uint64{hashOf(n.members.self)})
+	n.reportSelf(now)
 	n.broadcast(n.heartbeat(), from)
 	n.pullAll(now)
 }
 
 func (n *Node) onReport(now clock.Instant, p *peer, r *ConfigurationReport) {
-	holders := r.Holders
-	if index := n.members.index(); r.Members == index.digest {
+	index := n.members.index()
+	holders := index.present(r.Holders)
+	if r.Members == index.digest {
 		holders = slices.Concat(holders, index.holders(r.Bitmap))
 	}
 	n.addReport(now, r.Version, holders)
 	p.addKnownHolders(r.Version, holders)
 }
 
+// reportSelf records the version that this process holds. It has another name once it
+// has refuted that it has restarted.
+func (n *Node) reportSelf(now clock.Instant) {
+	if n.configuration.Version > 0 {
+		self := n.members.members[n.members.self]
+		n.addReport(now, n.configuration.Version, []uint64{self.holderName()})
+	}
+}
+
 // addReport records holders of a version and schedules sendReports if some are
 // new.
 func (n *Node) addReport(now clock.Instant, version uint64, holders []uint64) {
@@ -154,7 +164,7 @@
 	}
 }
 
-// sendAllHolders sends a peer the hashes of all holders, which it can read
+// sendAllHolders sends a peer the names of all holders, which it can read
 // whatever its list of members.
 func (n *Node) sendAllHolders(p *peer) {
 	holders := slices.Collect(maps.Keys(n.reports.holders))
--- a/serving/spread/reports.go
+++ b/serving/spread/reports.go
@@ -1,9 +1,7 @@
 package spread
 
-import "github.com/cespare/xxhash/v2"
-
 // reports tracks which processes hold which configuration version. Processes
-// are named by hashOf their IDs.
+// are named by Member.holderName.
 type reports struct {
 	// version is the newest version reported, and holders the processes known
 	// to hold it.
@@ -17,11 +15,6 @@
 	return &reports{holders: make(map[uint64]bool), highest: make(map[uint64]uint64)}
 }
 
-// hashOf returns the hash that names a process in reports.
-func hashOf(id string) uint64 {
-	return xxhash.Sum64String(id)
-}
-
 // add adds holders of a version and returns whether some are new. It ignores
 // versions older than the newest.
 func (r *reports) add(version uint64, holders []uint64) bool {
@@ -44,9 +37,9 @@
 }
 
 // remove deletes what is known of a process.
-func (r *reports) remove(id string) {
-	delete(r.highest, hashOf(id))
-	delete(r.holders, hashOf(id))
+func (r *reports) remove(m Member) {
+	delete(r.highest, m.holderName())
+	delete(r.holders, m.holderName())
 }
 
 // digest returns a hash of the holders that doesn't depend on their order.
--- a/serving/spread/spread_test.go
+++ b/serving/spread/spread_test.go
@@ -348,6 +348,31 @@
 		Expect(s.Progress(1).Missing).To(Equal([]string{entry.ID}))
 	})
 
+	// Guards against a configuration that is reported to be in force everywhere since a
+	// process that does not know of a restart yet still tells what the former one held.
+	It("counts no report of a process from before its restart, whoever passes it on", func() {
+		w := newNetwork(failf, 5, 3)
+		w.publish(w.nodes["controller/0"], 1)
+		w.awaitAgreement("start", 1, 0, time.Minute)
+		s, other := w.nodes["gateway/0"], w.nodes["gateway/1"]
+		entry := s.Members()[0]
+		Expect(entry.ID).To(Equal("controller/0"))
+		entry.Incarnation++
+		w.apply(s, s.Receive(w.now, other.id, &spread.MemberUpdate{Members: []spread.Member{entry}}))
+		Expect(s.Progress(1).Missing).To(Equal([]string{entry.ID}))
+		var passedOn []spread.Message
+		for _, a := range other.Receive(w.now, s.id, &spread.SyncRequest{Topic: spread.TopicReports}) {
+			if sent, ok := a.(spread.Send); ok && sent.To == s.id {
+				passedOn = append(passedOn, sent.Message)
+			}
+		}
+		Expect(passedOn).To(ContainElement(BeAssignableToTypeOf(&spread.ConfigurationReport{})))
+		for _, m := range passedOn {
+			w.apply(s, s.Receive(w.now, other.id, m))
+		}
+		Expect(s.Progress(1).Missing).To(Equal([]string{entry.ID}))
+	})
+
 	It("rejects a change of the fleet under an old lease", func() {
 		w := newNetwork(failf, 5, 1)
 		s := w.nodes["gateway/0"]
