--- a/edge/httpc/repeated_id_test.go
+++ b/edge/httpc/repeated_id_test.go
@@ -55,8 +55,12 @@
 		}
 		id := r.Header.Get("Name")
 		body := fmt.Sprint(number)
+		name := ""
+		if id != "" {
+			name = "Name: " + id + "\r\n"
+		}
 		answer := func(status int) {
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Answer\r\nName: %s\r\nContent-Length: %d\r\n\r\n%s", status, id, len(body), body)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Answer\r\n%sContent-Length: %d\r\n\r\n%s", status, name, len(body), body)
 		}
 		answer(http.StatusServiceUnavailable)
 		if seen[id] {
