relay: sends the copy of a refusal, late or when the request comes again

A server may repeat a refusal (503 with Not-Executed, or 421). The copy bears the ID of the refused request, also when that request is under way again on the same connection. No stand-in did that: RepeatStart leaves out at least the last byte of a response, and knows no request.

Change: two kinds of fault. LateCopy repeats each refusal after a delay, whether the connection is idle by then or a request is under way. CopyOnRetry repeats a refusal when the same request passes again on the connection; the pipe from the target hands refusals to the pipe to the target by a bounded ring. Both pipes know the fault now; the other kinds still touch only what comes from the target.

--- a/proof/scenarios/relay/fault_kind.go
+++ b/proof/scenarios/relay/fault_kind.go
@@ -14,4 +14,10 @@
 	// Endless sends the first bytes of the head of a response, and then others without end.
 	// In a body with a length these could not be told from its own.
 	Endless
+	// LateCopy sends each refusal once more after Fault.Delay, whether the connection is
+	// idle by then or a request is under way. What comes from the target meanwhile waits.
+	LateCopy
+	// CopyOnRetry sends a refusal once more when the refused request is sent again on the
+	// same connection, before its response.
+	CopyOnRetry
 )
--- a/proof/scenarios/relay/pipe.go
+++ b/proof/scenarios/relay/pipe.go
@@ -28,12 +28,29 @@
 	// delay is how long what was read waits, in nanoseconds.
 	delay atomic.Int64
 	// fault is State.Fault; nil is none.
-	fault  atomic.Pointer[Fault]
+	fault atomic.Pointer[Fault]
+	// isForth is true for the pipe to the target.
+	isForth bool
+	// refusals is shared by the two pipes of a connection.
+	refusals *refusals
+	// late is for waiting; nothing is offered.
+	late   *ring.Ring[bool]
 	thread *thread.Thread
 }
 
-func newPipe(from, to *net.TCPConn) *pipe {
-	return &pipe{from: from, to: to, released: ring.New[bool]("released", releaseSlots)}
+// newPipes makes the pipes to the target and back.
+func newPipes(from, to *net.TCPConn) (forth, back *pipe) {
+	shared := newRefusals()
+	forth, back = newPipe(from, to, shared), newPipe(to, from, shared)
+	forth.isForth = true
+	return forth, back
+}
+
+func newPipe(from, to *net.TCPConn, shared *refusals) *pipe {
+	return &pipe{
+		from: from, to: to, refusals: shared,
+		released: ring.New[bool]("released", releaseSlots), late: ring.New[bool]("late", 1),
+	}
 }
 
 func (p *pipe) start() {
@@ -69,12 +86,11 @@
 func (p *pipe) run() error {
 	defer p.shut()
 	buffer := make([]byte, pipeBytes)
-	late := ring.New[bool]("late", 1)
 	for {
 		n, err := p.from.Read(buffer)
 		if n > 0 {
 			if delay := time.Duration(p.delay.Load()); delay > 0 {
-				_, _, _ = late.TakeUntil(delay)
+				p.pause(delay)
 			}
 			if !p.pass(buffer[:n]) {
 				return nil
@@ -103,11 +119,16 @@
 // connection has ended.
 func (p *pipe) pass(piece []byte) bool {
 	fault := p.fault.Load()
-	if fault == nil || fault.Kind == NoFault {
+	switch {
+	case fault == nil || fault.Kind == NoFault:
 		return p.write(piece)
+	case p.isForth:
+		return p.passForth(piece, fault)
 	}
 	start := piece[:min(fault.Bytes, len(piece)-1)]
 	switch fault.Kind {
+	case LateCopy, CopyOnRetry:
+		return p.passRefusal(piece, fault)
 	case RepeatStart:
 		return p.write(piece) && p.write(start)
 	case Endless:
@@ -121,6 +142,39 @@
 	return false
 }
 
+// passForth passes a piece on to the target. For CopyOnRetry, the refusal of a request
+// that is sent again goes back first, so that it comes before the response.
+func (p *pipe) passForth(piece []byte, fault *Fault) bool {
+	if fault.Kind == CopyOnRetry {
+		if response := p.refusals.take(requestID(piece)); response != nil {
+			// The request reaches the target also if nobody reads the copy.
+			_, _ = p.from.Write(response)
+		}
+	}
+	return p.write(piece)
+}
+
+// passRefusal passes a piece on from the target. If it is a refusal, its copy follows
+// after the delay, or is kept for the retry.
+func (p *pipe) passRefusal(piece []byte, fault *Fault) bool {
+	refused, ok := parseRefusal(piece)
+	switch {
+	case !ok:
+		return p.write(piece)
+	case fault.Kind == CopyOnRetry:
+		// The retry may follow at once.
+		p.refusals.add(refused)
+		return p.write(piece)
+	case !p.write(piece):
+		return false
+	}
+	p.pause(fault.Delay)
+	return p.write(piece)
+}
+
+// pause parks the duty.
+func (p *pipe) pause(d time.Duration) { _, _, _ = p.late.TakeUntil(d) }
+
 // writeEndless writes bytes until the other end closes the connection.
 func (p *pipe) writeEndless() {
 	junk := bytes.Repeat([]byte("x"), pipeBytes)
--- a/proof/scenarios/relay/relay.go
+++ b/proof/scenarios/relay/relay.go
@@ -127,8 +127,7 @@
 		_ = from.Close()
 		return
 	}
-	forth := newPipe(from, to.(*net.TCPConn))
-	back := newPipe(to.(*net.TCPConn), from)
+	forth, back := newPipes(from, to.(*net.TCPConn))
 	r.pipes = append(r.pipes, forth, back)
 	r.apply([]*pipe{forth, back})
 	forth.start()
@@ -139,10 +138,8 @@
 func (r *Relay) apply(pipes []*pipe) {
 	for i, p := range pipes {
 		p.delay.Store(int64(r.state.Delay))
-		if i%2 == 1 {
-			fault := r.state.Fault
-			p.fault.Store(&fault)
-		}
+		fault := r.state.Fault
+		p.fault.Store(&fault)
 		if (i%2 == 0 && r.state.HoldsForth) || (i%2 == 1 && r.state.HoldsBack) {
 			p.hold()
 		} else {
--- a/proof/scenarios/relay/state.go
+++ b/proof/scenarios/relay/state.go
@@ -10,7 +10,7 @@
 	HoldsBack bool
 	// Delay is how long each piece waits on its way.
 	Delay time.Duration
-	// Fault is what happens to what comes from the target. It is for responses that come
-	// in one piece.
+	// Fault is what happens to what comes from the target. It is for requests and responses
+	// that come in one piece each.
 	Fault Fault
 }
