soak: draws upstreams that restart at their address and repeat refusals

A gateway that gets a 421 from the old ID of an upstream sends the request at once to the new ID, on the same connection; the copy of the 421 is then taken for the response to the second send. The soak never had two IDs at one address, nor whole copies of refusals.

Change: a draw of a random sequence of its own, so that old seeds stand for the same faults. The judge's rules are unchanged.

--- a/proof/soak/faults/driver.go
+++ b/proof/soak/faults/driver.go
@@ -25,6 +25,8 @@
 	leaveTime = 2500 * time.Millisecond
 	// spoilChance is one in how many draws adds an upstream that spoils its responses.
 	spoilChance = 3
+	// restartChance is one in how many draws adds an upstream that restarts.
+	restartChance = 3
 )
 
 // Driver injects faults. One thread uses it.
@@ -39,9 +41,11 @@
 	signals *rand.Rand
 	// spoils draws upstreams that spoil their responses, in the same way.
 	spoils *rand.Rand
-	log    zerolog.Logger
-	steps  []step
-	now    time.Duration
+	// restarts draws upstreams that start anew at the same address, in the same way.
+	restarts *rand.Rand
+	log      zerolog.Logger
+	steps    []step
+	now      time.Duration
 	// down maps a stopped gateway to the time of its restart.
 	down map[*world.Gateway]time.Duration
 	// killAt maps a gateway that got SIGTERM to the time of its SIGKILL.
@@ -52,7 +56,7 @@
 func New(w *world.World, seed uint64, log zerolog.Logger) *Driver {
 	return &Driver{
 		world: w, random: rand.New(rand.NewPCG(seed, 3)), signals: rand.New(rand.NewPCG(seed, 4)),
-		spoils: rand.New(rand.NewPCG(seed, 5)), log: log,
+		spoils: rand.New(rand.NewPCG(seed, 5)), restarts: rand.New(rand.NewPCG(seed, 6)), log: log,
 		down: make(map[*world.Gateway]time.Duration), killAt: make(map[*world.Gateway]time.Duration),
 	}
 }
@@ -142,6 +146,9 @@
 	if d.spoils.IntN(spoilChance) == 0 {
 		d.spoil(d.world.Upstreams[d.spoils.IntN(len(d.world.Upstreams))])
 	}
+	if d.restarts.IntN(restartChance) == 0 {
+		d.restart(d.world.Upstreams[d.restarts.IntN(len(d.world.Upstreams))])
+	}
 	switch d.random.IntN(10) {
 	case 0, 1:
 		d.signal(g)
--- a/proof/soak/faults/spoil.go
+++ b/proof/soak/faults/spoil.go
@@ -26,14 +26,17 @@
 	}
 	kinds := []relay.FaultKind{relay.RepeatStart, relay.RepeatStart, relay.CutOff, relay.Endless}
 	fault := relay.Fault{Kind: kinds[d.spoils.IntN(len(kinds))], Bytes: 1 + d.spoils.IntN(longestSpoil)}
-	set := func(every int, fault relay.Fault) func() error {
-		return func() error {
-			if err := u.Relay.Set(relay.State{Fault: fault}); err != nil {
-				return err
-			}
-			return world.Posted(u.Replica, func() { u.Replica.UpdateConfig(func(c *replica.Config) { c.RejectEvery = every }) })
+	d.add(0, fmt.Sprintf("%s spoils its responses %+v", u.ID, fault), d.refusing(u, rejectEvery, fault))
+	d.add(time.Duration(d.spoils.Int64N(int64(longestSpoilTime)))+time.Millisecond, u.ID+" spoils no more", d.refusing(u, 0, relay.Fault{}))
+}
+
+// refusing returns the step that makes an upstream refuse one in so many requests, 0 being
+// none, and spoils its responses.
+func (d *Driver) refusing(u *world.Upstream, every int, fault relay.Fault) func() error {
+	return func() error {
+		if err := u.Relay.Set(relay.State{Fault: fault}); err != nil {
+			return err
 		}
+		return world.Posted(u.Replica, func() { u.Replica.UpdateConfig(func(c *replica.Config) { c.RejectEvery = every }) })
 	}
-	d.add(0, fmt.Sprintf("%s spoils its responses %+v", u.ID, fault), set(rejectEvery, fault))
-	d.add(time.Duration(d.spoils.Int64N(int64(longestSpoilTime)))+time.Millisecond, u.ID+" spoils no more", set(0, relay.Fault{}))
 }
--- a/proof/soak/world/upstream.go
+++ b/proof/soak/world/upstream.go
@@ -19,5 +19,9 @@
 	// Relay stands before it.
 	Relay *relay.Relay
 
+	// restarts counts the starts after the first one, and firstID is the ID of that.
+	restarts int
+	firstID  string
+
 	thread *thread.Thread
 }
--- a/proof/soak/world/world.go
+++ b/proof/soak/world/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -134,7 +135,8 @@
 // failStatus is not 0, all its responses have that status.
 func (w *World) AddVersion(service, version string, failStatus int) (*Upstream, error) {
 	w.started++
-	u := &Upstream{ID: fmt.Sprintf("%s-%d", service, w.started), Service: service, Version: version}
+	id := fmt.Sprintf("%s-%d", service, w.started)
+	u := &Upstream{ID: id, firstID: id, Service: service, Version: version}
 	config := replica.Config{ID: u.ID, Address: "127.0.0.1:0", Delay: w.config.EventPause, FailStatus: failStatus}
 	if service == "llm" {
 		config.Events = Events
@@ -178,9 +180,30 @@
 			break
 		}
 	}
-	return Posted(w.Store, func() { operator.RemoveUpstream(w.Store, u.ID) })
+	return w.RemoveEntry(u.ID)
 }
 
+// Restart starts an upstream anew under another ID at the same address, and registers it.
+// The entry of its former ID, which is returned, stays until RemoveEntry.
+func (w *World) Restart(u *Upstream) (former string, err error) {
+	former = u.ID
+	u.restarts++
+	u.ID = fmt.Sprintf("%s.%d", u.firstID, u.restarts)
+	change := func(c *replica.Config) { c.ID = u.ID }
+	if err := Posted(u.Replica, func() { u.Replica.UpdateConfig(change) }); err != nil {
+		return "", err
+	}
+	return former, w.Register(u, operator.Ready)
+}
+
+// RemoveEntry removes the entry of a former ID of an upstream.
+func (w *World) RemoveEntry(id string) error {
+	return Posted(w.Store, func() { operator.RemoveUpstream(w.Store, id) })
+}
+
+// IsPresent reports whether an upstream has not been removed.
+func (w *World) IsPresent(u *Upstream) bool { return slices.Contains(w.Upstreams, u) }
+
 // Order writes the order of a roll-out.
 func (w *World) Order(r operator.Rollout) error { return w.write(r.Write) }
 
