--- a/proof/scenarios/relay/refusal.go
+++ b/proof/scenarios/relay/refusal.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"net/http"
+
+	"github.com/sycamorecourse/sycamorecourse/standin/replica"
 )
 
 // refusal is a response which says that the target has not run the request.
@@ -22,11 +24,10 @@
 		return refusal{}, false
 	}
 	_ = res.Body.Close()
-	isFull := res.StatusCode == http.StatusServiceUnavailable && res.Header.Get("Not-Executed") != ""
-	if !isFull && res.StatusCode != http.StatusMisdirectedRequest {
+	if !replica.IsRefusal(res.StatusCode, res.Header) {
 		return refusal{}, false
 	}
-	return refusal{id: res.Header.Get("Attempt-Id"), response: bytes.Clone(piece)}, true
+	return refusal{id: replica.RequestID(res.Header), response: bytes.Clone(piece)}, true
 }
 
 // requestID returns the ID of the request that a piece to the target starts with; empty
@@ -37,5 +38,5 @@
 		// It is another part of a request.
 		return ""
 	}
-	return req.Header.Get("Attempt-Id")
+	return replica.RequestID(req.Header)
 }
