--- a/edge/httpc/cut_head_test.go
+++ b/edge/httpc/cut_head_test.go
@@ -8,7 +8,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/sycamorecourse/sycamorecourse/coord/thread"
 	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
 )
 
@@ -22,16 +21,7 @@
 		for cut := 1; cut < len(response); cut++ {
 			server.scripts = append(server.scripts, respondAndClose(response[:cut]))
 		}
-		client := httpc.New(httpc.Config{})
-		Expect(client.Open()).To(Succeed())
-		threads := []*thread.Thread{thread.Start("client", client.Run), thread.Start("server", server.run)}
-		DeferCleanup(func() {
-			client.Close()
-			_ = ln.Close()
-			for _, t := range threads {
-				Expect(t.Join()).To(Succeed())
-			}
-		})
+		client := startClient(ln, server.run)
 		for cut := 1; cut < len(response); cut++ {
 			r := newRecorder()
 			Expect(client.Start(&httpc.Call{
--- a/edge/httpc/endless_test.go
+++ b/edge/httpc/endless_test.go
@@ -10,7 +10,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/sycamorecourse/sycamorecourse/coord/thread"
 	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
 )
 
@@ -37,16 +36,7 @@
 					}
 				}
 			}}}
-			client := httpc.New(httpc.Config{})
-			Expect(client.Open()).To(Succeed())
-			threads := []*thread.Thread{thread.Start("client", client.Run), thread.Start("server", server.run)}
-			DeferCleanup(func() {
-				client.Close()
-				_ = ln.Close()
-				for _, t := range threads {
-					Expect(t.Join()).To(Succeed())
-				}
-			})
+			client := startClient(ln, server.run)
 			r := newRecorder()
 			Expect(client.Start(&httpc.Call{
 				Address: ln.Addr().String(), Method: "GET", Path: "/", Header: http.Header{"Name": {"a"}}, EchoHeader: "Name",
--- a/edge/httpc/joined_reason_test.go
+++ b/edge/httpc/joined_reason_test.go
@@ -8,7 +8,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/sycamorecourse/sycamorecourse/coord/thread"
 	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
 )
 
@@ -24,16 +23,7 @@
 			respond("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nName: a\r\nContent-Length: 0\r\n\r\n"),
 			respond(copied + statusLine + "\r\nName: b\r\nContent-Length: 3\r\n\r\nown"),
 		}}
-		client := httpc.New(httpc.Config{})
-		Expect(client.Open()).To(Succeed())
-		threads := []*thread.Thread{thread.Start("client", client.Run), thread.Start("server", server.run)}
-		DeferCleanup(func() {
-			client.Close()
-			_ = ln.Close()
-			for _, t := range threads {
-				Expect(t.Join()).To(Succeed())
-			}
-		})
+		client := startClient(ln, server.run)
 		ask := func(id string) (*recorder, error) {
 			r := newRecorder()
 			Expect(client.Start(&httpc.Call{
--- a/edge/httpc/many_ids_test.go
+++ b/edge/httpc/many_ids_test.go
@@ -9,7 +9,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/sycamorecourse/sycamorecourse/coord/thread"
 	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
 )
 
@@ -20,16 +19,7 @@
 		ln, err := net.Listen("tcp", "127.0.0.2:0")
 		Expect(err).NotTo(HaveOccurred())
 		server := &refusingServer{listener: ln}
-		client := httpc.New(httpc.Config{})
-		Expect(client.Open()).To(Succeed())
-		threads := []*thread.Thread{thread.Start("client", client.Run), thread.Start("server", server.run)}
-		DeferCleanup(func() {
-			client.Close()
-			_ = ln.Close()
-			for _, t := range threads {
-				Expect(t.Join()).To(Succeed())
-			}
-		})
+		client := startClient(ln, server.run)
 		call := func(id string) string {
 			r := newRecorder()
 			Expect(client.Start(&httpc.Call{
--- a/edge/httpc/partial_copy_test.go
+++ b/edge/httpc/partial_copy_test.go
@@ -10,7 +10,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
-	"github.com/sycamorecourse/sycamorecourse/coord/thread"
 	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
 )
 
@@ -74,16 +73,7 @@
 					})
 				}
 			}
-			client := httpc.New(httpc.Config{})
-			Expect(client.Open()).To(Succeed())
-			threads := []*thread.Thread{thread.Start("client", client.Run), thread.Start("server", server.run)}
-			DeferCleanup(func() {
-				client.Close()
-				_ = ln.Close()
-				for _, t := range threads {
-					Expect(t.Join()).To(Succeed())
-				}
-			})
+			client := startClient(ln, server.run)
 			ask := func(id string) (*recorder, error) {
 				r := newRecorder()
 				Expect(client.Start(&httpc.Call{
--- a/edge/httpc/repeated_id_pool_test.go
+++ b/edge/httpc/repeated_id_pool_test.go
@@ -8,7 +8,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/sycamorecourse/sycamorecourse/coord/thread"
 	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
 )
 
@@ -22,16 +21,7 @@
 		server := &refusingServer{listener: ln}
 		open := newOpenCounter(ln)
 		server.listener = open
-		client := httpc.New(httpc.Config{})
-		Expect(client.Open()).To(Succeed())
-		threads := []*thread.Thread{thread.Start("client", client.Run), thread.Start("server", server.run)}
-		DeferCleanup(func() {
-			client.Close()
-			_ = ln.Close()
-			for _, t := range threads {
-				Expect(t.Join()).To(Succeed())
-			}
-		})
+		client := startClient(ln, server.run)
 		for range calls {
 			r := newRecorder()
 			Expect(client.Start(&httpc.Call{
--- a/edge/httpc/second_copy_test.go
+++ b/edge/httpc/second_copy_test.go
@@ -9,7 +9,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/sycamorecourse/sycamorecourse/coord/thread"
 	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
 )
 
@@ -46,16 +45,7 @@
 				copied := encode(id)
 				server.scripts = append(server.scripts, write(pause, encode(id), copied[:min(cutAt, len(copied))]))
 			}
-			client := httpc.New(httpc.Config{})
-			Expect(client.Open()).To(Succeed())
-			threads := []*thread.Thread{thread.Start("client", client.Run), thread.Start("server", server.run)}
-			DeferCleanup(func() {
-				client.Close()
-				_ = ln.Close()
-				for _, t := range threads {
-					Expect(t.Join()).To(Succeed())
-				}
-			})
+			client := startClient(ln, server.run)
 			own := 0
 			for i := range calls {
 				id := fmt.Sprintf("response-%d", i)
--- a/edge/httpc/unsent_stale_test.go
+++ b/edge/httpc/unsent_stale_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
-	"github.com/sycamorecourse/sycamorecourse/coord/thread"
 	"github.com/sycamorecourse/sycamorecourse/edge/httpc"
 )
 
@@ -27,16 +26,7 @@
 		}
 	}
 	server := &scriptedServer{listener: ln, scripts: []func(*net.TCPConn){answer("a"), answer("c")}}
-	client := httpc.New(httpc.Config{})
-	Expect(client.Open()).To(Succeed())
-	threads := []*thread.Thread{thread.Start("client", client.Run), thread.Start("server", server.run)}
-	DeferCleanup(func() {
-		client.Close()
-		_ = ln.Close()
-		for _, t := range threads {
-			Expect(t.Join()).To(Succeed())
-		}
-	})
+	client := startClient(ln, server.run)
 	call := func(id string, notAfter clock.Instant) error {
 		r := newRecorder()
 		Expect(client.Start(&httpc.Call{
