--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -12,8 +12,8 @@
 var cases = map[string]func(*world) bool{
 	"partial-bodies": partialBodies,
 	"open-heads":     openHeads,
-	"second-stop":    secondStop,
 	"slow-readers":   slowReaders,
+	"held-up":        heldUpRequests,
 }
 
 func main() {
--- a/review/rig-2/world.go
+++ b/review/rig-2/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -115,7 +116,7 @@
 }
 
 // replica registers a handler as a ready replica of a service.
-func (w *world) replica(id, service string, slots int, serveRun func(http.ResponseWriter, *http.Request)) {
+func (w *world) replica(id, service string, slots int, serveRun func(http.ResponseWriter, *http.Request)) map[string]any {
 	address := serve(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/health" {
 			rw.Header().Set("Instance-Id", id)
@@ -130,12 +131,16 @@
 		rw.Header().Set("Response-Seal", "seal."+id)
 		serveRun(rw, r)
 	}))
-	w.store.put("servers", id, map[string]any{
+	entry := map[string]any{
 		"service": service, "address": address, "zone": "regina-hall", "version": "v1", "slots": slots, "state": "ready",
 		"cold_remaining_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
-	})
+	}
+	w.store.put("servers", id, entry)
+	return entry
 }
 
+func readAll(res *http.Response) ([]byte, error) { return io.ReadAll(res.Body) }
+
 const settingsText = `node = %q
 role = "entry"
 machine_class = "edge"
