--- a/edge/httpc/connection.go
+++ b/edge/httpc/connection.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -50,7 +48,7 @@
 	// thread owns both.
 	calls   int
 	carried carriedIDs
-	// keepAliveTimeout is how long the server keeps the connection idle, from the
+	// keepAliveTimeout is how long the server keeps the connection idle, from the last
 	// Keep-Alive field; 0 if unknown. The poller writes it before onIdle.
 	keepAliveTimeout time.Duration
 
@@ -66,11 +64,9 @@
 	// are not part of it.
 	hasSurplus bool
 
-	status        int
-	header        http.Header
+	// response is the head of the response that is being received, or of the last one.
+	response      *responseHead
 	headDelivered bool
-	closeAfter    bool
-	chunked       bool
 	// closeDelimited is true if the end of the connection marks the end of the
 	// response body.
 	closeDelimited bool
@@ -86,38 +82,21 @@
 func (c *connection) OnProto(*nbhttp.Parser, string) error { return nil }
 
 // OnStatus implements nbhttp.Processor.
-func (c *connection) OnStatus(_ *nbhttp.Parser, code int, _ string) {
-	c.status = code
-	c.header = http.Header{}
-	c.headDelivered = false
-	c.closeAfter = false
-	c.chunked = false
-	c.closeDelimited = false
-}
+func (c *connection) OnStatus(*nbhttp.Parser, int, string) {}
 
 // OnHeader implements nbhttp.Processor.
-func (c *connection) OnHeader(_ *nbhttp.Parser, key, value string) {
-	c.header.Add(key, value)
-	switch key {
-	case "Connection":
-		c.closeAfter = c.closeAfter || strings.EqualFold(value, "close")
-	case "Keep-Alive":
-		c.keepAliveTimeout = parseKeepAlive(value)
-	case "Transfer-Encoding":
-		c.chunked = true
-	}
-}
+func (c *connection) OnHeader(*nbhttp.Parser, string, string) {}
 
 // OnContentLength implements nbhttp.Processor. The parser calls it after the
 // last header field, with a negative length if there is no Content-Length. A
 // body that has neither a length nor chunked encoding is close-delimited.
 func (c *connection) OnContentLength(_ *nbhttp.Parser, length int) {
-	if c.status >= 200 {
+	if c.response.status >= 200 {
 		c.headComplete = true
 		c.releaseUnparsed()
 	}
-	hasBody := c.status >= 200 && c.status != http.StatusNoContent && c.status != http.StatusNotModified
-	c.closeDelimited = length < 0 && !c.chunked && hasBody
+	hasBody := c.response.status >= 200 && c.response.status != http.StatusNoContent && c.response.status != http.StatusNotModified
+	c.closeDelimited = length < 0 && c.response.header["Transfer-Encoding"] == nil && hasBody
 }
 
 // OnBody implements nbhttp.Processor.
@@ -142,7 +121,7 @@
 		parser.ParserCloser = &closeDelimitedBody{connection: c}
 		return
 	}
-	if c.status < 200 {
+	if c.response.status < 200 {
 		return
 	}
 	c.headComplete = false
@@ -191,7 +170,7 @@
 		return
 	}
 	c.headDelivered = true
-	call.Sink.Head(c.status, c.header)
+	call.Sink.Head(c.response.status, c.response.header)
 }
 
 // checkEcho fails with a *MismatchError if the response belongs to another request.
@@ -200,8 +179,8 @@
 	if !ok {
 		return nil
 	}
-	if got := c.header.Get(call.EchoHeader); want != got {
-		return &MismatchError{Field: call.EchoHeader, Want: want, Got: got, Status: c.status}
+	if got := c.response.header.Get(call.EchoHeader); want != got {
+		return &MismatchError{Field: call.EchoHeader, Want: want, Got: got, Status: c.response.status}
 	}
 	return nil
 }
@@ -240,15 +219,3 @@
 func (c *connection) isStale(now time.Time) bool {
 	return c.keepAliveTimeout > 0 && now.Sub(c.idleSince) > c.keepAliveTimeout*4/5
 }
-
-// parseKeepAlive returns the timeout parameter of a Keep-Alive field; 0 if it
-// has none.
-func parseKeepAlive(value string) time.Duration {
-	for _, part := range strings.Split(value, ",") {
-		name, text, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if seconds, err := strconv.Atoi(strings.TrimSpace(text)); err == nil && strings.EqualFold(name, "timeout") {
-			return time.Duration(seconds) * time.Second
-		}
-	}
-	return 0
-}
--- a/edge/httpc/connection_receive.go
+++ b/edge/httpc/connection_receive.go
@@ -31,7 +31,7 @@
 		if head == nil {
 			return nil
 		}
-		if err := c.parseHead(head, call); err != nil {
+		if err := c.readHead(head, call); err != nil {
 			return err
 		}
 		data = rest
@@ -47,18 +47,25 @@
 	return c.finish(call)
 }
 
-// parseHead parses a complete head. It fails if the head is malformed or belongs to the
+// readHead handles a complete head. It fails if the head is malformed or belongs to the
 // response to another request.
-func (c *connection) parseHead(head []byte, call *Call) error {
-	if err := checkHead(head); err != nil {
+func (c *connection) readHead(text []byte, call *Call) error {
+	head, err := parseHead(text)
+	if err != nil {
 		return err
 	}
-	if err := c.parser.Parse(head); err != nil {
+	c.response = head
+	c.headDelivered = false
+	c.closeDelimited = false
+	if err := c.parser.Parse(text); err != nil {
 		return err
 	}
-	if c.status < 200 {
+	if head.isInterim() {
 		return nil
 	}
+	if timeout, ok := head.keepAliveTimeout(); ok {
+		c.keepAliveTimeout = timeout
+	}
 	return c.checkEcho(call)
 }
 
@@ -92,7 +99,7 @@
 	c.complete = false
 	c.hasSurplus = false
 	c.parser.ParserCloser = nil
-	closeAfter := c.closeAfter || call.Exclusive
+	closeAfter := c.response.endsConnection() || call.Exclusive
 	if !c.current.CompareAndSwap(call, nil) {
 		return nil
 	}
--- a/edge/httpc/head_buffer.go
+++ b/edge/httpc/head_buffer.go
@@ -3,7 +3,7 @@
 import "bytes"
 
 // headEnd ends the head of a response.
-var headEnd = []byte("\r\n\r\n")
+const headEnd = lineEnd + lineEnd
 
 // headBuffer collects the bytes of a response head, which may arrive in pieces.
 type headBuffer struct {
@@ -20,7 +20,7 @@
 		b.partial = append(b.partial, data...)
 		data = b.partial
 	}
-	at := bytes.Index(data[from:], headEnd)
+	at := bytes.Index(data[from:], []byte(headEnd))
 	if at < 0 {
 		if len(b.partial) == 0 {
 			b.partial = append(b.partial, data...)
--- /dev/null
+++ b/proof/entry/broken_answer_test.go
@@ -0,0 +1,37 @@
+package entry_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// Guards against bytes that are no answer reaching a caller as one (MIXED): an upstream in
+// trouble spoils the head of its answer or how its body is delimited.
+var _ = DescribeTable("An upstream that sends a broken answer",
+	func(answer string) {
+		s := newSite()
+		s.configure()
+		odd := s.rawUpstream("app", "odd", func(r *http.Request, w io.Writer) bool {
+			_, _ = fmt.Fprintf(w, answer, r.Header.Get("Attempt-Id"))
+			return false
+		})
+		g := s.start("g1")
+		got := g.ask("POST", "/once/x", "key", "booking")
+		Expect(odd.requests.Load()).To(BeEquivalentTo(1))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.status).To(Equal(http.StatusBadGateway), "body %q", got.body)
+		Expect(got.header).NotTo(HaveKey("Response-Seal"))
+		Expect(got.body).NotTo(ContainSubstring("booked"))
+	},
+	Entry("with a line that is no field", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nout of memory\r\nContent-Length: 6\r\n\r\nbooked"),
+	Entry("with a line that has a colon and is no field", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nout of memory: 5\r\nContent-Length: 6\r\n\r\nbooked"),
+	Entry("with a blank in the name of a field", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nContent Length: 3\r\n\r\nbooked"),
+	Entry("with a blank after the name of a field", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nContent-Length : 3\r\n\r\nbooked"),
+	Entry("with a control byte in the name of a field", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nContent\x01Length: 3\r\n\r\nbooked"),
+	Entry("with a tab in the name of a field", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nContent\tLength: 3\r\n\r\nbooked"),
+	Entry("with a control byte in the value of a field", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nKind: x\x01y\r\nContent-Length: 6\r\n\r\nbooked"),
+)
