--- a/edge/httpc/status_line.go
+++ b/edge/httpc/status_line.go
@@ -13,6 +13,9 @@
 	versionPrefix = "HTTP/1."
 	// statusLineBytes is the length of a status line without a reason phrase.
 	statusLineBytes = len("HTTP/1.1 200 ")
+	// minStatus and maxStatus bound the statuses that a response can have.
+	minStatus = 100
+	maxStatus = 599
 )
 
 // statusLine is the first line of a response (RFC 9112, 4).
@@ -24,8 +27,8 @@
 }
 
 // parseStatusLine parses a status line without its line end. It fails with a
-// *MalformedHeadError. The reason phrase may be empty, the space before it may not be
-// missing.
+// *MalformedHeadError, or with a *StatusError if no response can have that status. The
+// reason phrase may be empty, the space before it may not be missing.
 func parseStatusLine(line string) (statusLine, error) {
 	if len(line) < statusLineBytes || !startsWithStatus(line) || line[statusLineBytes-1] != ' ' {
 		return statusLine{}, &MalformedHeadError{Detail: "no status line"}
@@ -38,9 +41,18 @@
 	if err != nil {
 		return statusLine{}, &MalformedHeadError{Detail: "no status"}
 	}
+	if !isPossibleStatus(status) {
+		return statusLine{}, &StatusError{Status: status}
+	}
 	return statusLine{minor: int(line[version] - '0'), status: status}, nil
 }
 
+// isPossibleStatus reports whether a response can have a status. No request of this
+// client asks for another protocol, so that none is answered by 101.
+func isPossibleStatus(status int) bool {
+	return status >= minStatus && status <= maxStatus && status != http.StatusSwitchingProtocols
+}
+
 // isInterim reports whether another response to the same request follows.
 func (l statusLine) isInterim() bool { return l.status < http.StatusOK }
 
