--- a/edge/httpc/client_dial.go
+++ b/edge/httpc/client_dial.go
@@ -35,7 +35,7 @@
 		return nil, err
 	}
 	conn := &connection{address: address, number: c.lastNumber.Add(1), conn: raw, onIdle: c.release, onUnsolicited: c.config.OnUnsolicited, budget: c.config.Budget}
-	conn.parser = nbhttp.NewParser(raw, c.engine, conn, true, nil)
+	conn.parser = nbhttp.NewParser(raw, c.engine, &bodyEvents{connection: conn}, true, nil)
 	raw.SetSession(conn)
 	raw.OnData(c.engine.DataHandler)
 	c.reader.countConn()
--- a/edge/httpc/close_delimited_body.go
+++ b/edge/httpc/close_delimited_body.go
@@ -1,26 +1,12 @@
 package httpc
 
-import "net"
-
-// closeDelimitedBody replaces the parser of a connection while it receives a
-// close-delimited body: it passes the bytes on unparsed. It implements
-// nbhttp.ParserCloser.
+// closeDelimitedBody delivers a body that ends with the connection, as it arrives. It
+// implements body.
 type closeDelimitedBody struct {
 	connection *connection
 }
 
-// UnderlayerConn implements nbhttp.ParserCloser.
-func (b *closeDelimitedBody) UnderlayerConn() net.Conn {
-	return b.connection.conn
-}
-
-// Parse implements nbhttp.ParserCloser.
-func (b *closeDelimitedBody) Parse(data []byte) error {
-	if len(data) == 0 {
-		return nil
-	}
-	return b.connection.OnBody(nil, data)
+// read implements body.
+func (b *closeDelimitedBody) read(data []byte) ([]byte, error) {
+	return nil, b.connection.deliverBody(data)
 }
-
-// CloseAndClean implements nbhttp.ParserCloser.
-func (b *closeDelimitedBody) CloseAndClean(error) {}
--- a/edge/httpc/connection.go
+++ b/edge/httpc/connection.go
@@ -1,7 +1,6 @@
 package httpc
 
 import (
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -25,8 +24,9 @@
 // outcome of the call. Bytes that arrive while there is none set it to noCall, so that
 // no request is sent any more.
 //
-// It implements nbhttp.ParserCloser, in front of the parser, and nbhttp.Processor,
-// behind it. The parser calls the methods of the latter one at a time.
+// It reads heads and the framing of bodies itself; see parseHead. The parser decodes
+// bodies, behind a plain head that newSizedBody or newChunkedBody gives it, and reports
+// them through bodyEvents. connection implements nbhttp.ParserCloser.
 type connection struct {
 	address string
 	// number counts the connections of the client.
@@ -67,71 +67,15 @@
 	// response is the head of the response that is being received, or of the last one.
 	response      *responseHead
 	headDelivered bool
+	// body handles the body of the response; nil before its head and after its end.
+	body body
 	// closeDelimited is true if the end of the connection marks the end of the
 	// response body.
 	closeDelimited bool
 }
 
-// OnMethod implements nbhttp.Processor.
-func (c *connection) OnMethod(*nbhttp.Parser, string) {}
-
-// OnURL implements nbhttp.Processor.
-func (c *connection) OnURL(*nbhttp.Parser, string) error { return nil }
-
-// OnProto implements nbhttp.Processor.
-func (c *connection) OnProto(*nbhttp.Parser, string) error { return nil }
-
-// OnStatus implements nbhttp.Processor.
-func (c *connection) OnStatus(*nbhttp.Parser, int, string) {}
-
-// OnHeader implements nbhttp.Processor.
-func (c *connection) OnHeader(*nbhttp.Parser, string, string) {}
-
-// OnContentLength implements nbhttp.Processor. The parser calls it after the
-// last header field, with a negative length if there is no Content-Length. A
-// body that has neither a length nor chunked encoding is close-delimited.
-func (c *connection) OnContentLength(_ *nbhttp.Parser, length int) {
-	if c.response.status >= 200 {
-		c.headComplete = true
-		c.releaseUnparsed()
-	}
-	hasBody := c.response.status >= 200 && c.response.status != http.StatusNoContent && c.response.status != http.StatusNotModified
-	c.closeDelimited = length < 0 && c.response.header["Transfer-Encoding"] == nil && hasBody
-}
-
-// OnBody implements nbhttp.Processor.
-func (c *connection) OnBody(_ *nbhttp.Parser, data []byte) error {
-	c.releaseUnparsed()
-	call := c.current.Load()
-	if call == nil {
-		return nil
-	}
-	c.deliverHead(call)
-	return call.Sink.Body(data)
-}
-
-// OnTrailerHeader implements nbhttp.Processor.
-func (c *connection) OnTrailerHeader(*nbhttp.Parser, string, string) {}
-
-// OnComplete implements nbhttp.Processor.
-func (c *connection) OnComplete(parser *nbhttp.Parser) {
-	if c.closeDelimited {
-		// The parser takes a response without a length to end with its header.
-		// Replace it, so that the bytes that follow are delivered as the body.
-		parser.ParserCloser = &closeDelimitedBody{connection: c}
-		return
-	}
-	if c.response.status < 200 {
-		return
-	}
-	c.headComplete = false
-	c.releaseUnparsed()
-	c.complete = true
-	parser.ParserCloser = &surplus{connection: c}
-}
-
-// Close implements nbhttp.Processor.
-func (c *connection) Close(_ *nbhttp.Parser, err error) {
+// ended reports the outcome of the call that is open when the connection ends.
+func (c *connection) ended(err error) {
 	c.releaseUnparsed()
 	call := c.current.Swap(noCall)
 	if call == nil || call == noCall {
@@ -161,9 +105,6 @@
 	call.Sink.Done()
 }
 
-// Clean implements nbhttp.Processor.
-func (c *connection) Clean(*nbhttp.Parser) {}
-
 // deliverHead passes the status and the header to the sink, once per response.
 func (c *connection) deliverHead(call *Call) {
 	if c.headDelivered {
--- a/edge/httpc/connection_receive.go
+++ b/edge/httpc/connection_receive.go
@@ -12,9 +12,9 @@
 	c.parser.CloseAndClean(err)
 }
 
-// Parse implements nbhttp.ParserCloser: it handles received bytes, on the poller. The
-// parser gets a head only when it is complete and checked, so that a connection that
-// ends within a head has no response. An error closes the connection.
+// Parse implements nbhttp.ParserCloser: it handles received bytes, on the poller. A head
+// counts only when it is complete, so that a connection that ends within a head has no
+// response. An error closes the connection.
 func (c *connection) Parse(data []byte) error {
 	if c.current.CompareAndSwap(nil, noCall) {
 		return c.unsolicited()
@@ -26,47 +26,87 @@
 	if err := c.receive(len(data)); err != nil {
 		return err
 	}
-	for len(data) > 0 && !c.headComplete && !c.complete {
-		head, rest := c.head.take(data)
-		if head == nil {
-			return nil
-		}
-		if err := c.readHead(head, call); err != nil {
+	for len(data) > 0 && !c.complete {
+		rest, err := c.parseNext(data, call)
+		if err != nil {
 			return err
 		}
 		data = rest
 	}
-	if len(data) > 0 {
-		if err := c.parser.Parse(data); err != nil {
-			return err
-		}
-	}
 	if !c.complete {
 		return nil
 	}
-	return c.finish(call)
+	return c.finish(call, c.hasSurplus || len(data) > 0)
+}
+
+// parseNext handles the next part of a response, and returns the bytes that follow it.
+func (c *connection) parseNext(data []byte, call *Call) ([]byte, error) {
+	if c.body != nil {
+		return c.body.read(data)
+	}
+	head, rest := c.head.take(data)
+	if head == nil {
+		return nil, nil
+	}
+	return rest, c.readHead(head, call)
 }
 
 // readHead handles a complete head. It fails if the head is malformed or belongs to the
 // response to another request.
 func (c *connection) readHead(text []byte, call *Call) error {
-	head, err := parseHead(text)
+	head, err := parseHead(text, call.Method)
 	if err != nil {
 		return err
 	}
-	c.response = head
-	c.headDelivered = false
-	c.closeDelimited = false
-	if err := c.parser.Parse(text); err != nil {
-		return err
-	}
 	if head.isInterim() {
 		return nil
 	}
+	c.response = head
+	c.headDelivered = false
+	c.headComplete = true
+	c.releaseUnparsed()
 	if timeout, ok := head.keepAliveTimeout(); ok {
 		c.keepAliveTimeout = timeout
 	}
-	return c.checkEcho(call)
+	if err := c.checkEcho(call); err != nil {
+		return err
+	}
+	return c.beginBody(head.framing)
+}
+
+// beginBody prepares for the body of a response, or ends the response if it has none.
+func (c *connection) beginBody(f framing) (err error) {
+	switch f.kind {
+	case noBody:
+		c.endResponse()
+	case sizedFraming:
+		c.body, err = newSizedBody(c.parser, f.length)
+	case chunkedFraming:
+		c.body, err = newChunkedBody(c.parser)
+	case closeDelimitedFraming:
+		c.closeDelimited = true
+		c.body = &closeDelimitedBody{connection: c}
+	}
+	return err
+}
+
+// deliverBody passes a part of the body to the sink of the current call.
+func (c *connection) deliverBody(data []byte) error {
+	c.releaseUnparsed()
+	call := c.current.Load()
+	if call == nil || call == noCall {
+		return nil
+	}
+	c.deliverHead(call)
+	return call.Sink.Body(data)
+}
+
+// endResponse notes that the response is complete.
+func (c *connection) endResponse() {
+	c.releaseUnparsed()
+	c.headComplete = false
+	c.body = nil
+	c.complete = true
 }
 
 // receive counts received bytes before they are parsed. It fails with a *SizeError
@@ -94,8 +134,7 @@
 
 // finish reports a complete response, and hands the connection on for reuse unless the
 // call is exclusive, or the server is about to close it or has sent more than the response.
-func (c *connection) finish(call *Call) error {
-	hasSurplus := c.hasSurplus
+func (c *connection) finish(call *Call, hasSurplus bool) error {
 	c.complete = false
 	c.hasSurplus = false
 	c.parser.ParserCloser = nil
--- a/edge/httpc/response_head.go
+++ b/edge/httpc/response_head.go
@@ -12,18 +12,20 @@
 // responseHead is the head of a response.
 type responseHead struct {
 	statusLine
-	header http.Header
+	header  http.Header
+	framing framing
 }
 
-// parseHead parses a head up to its final blank line. The parser of nbhttp is lenient
-// where a malformed line can hide another one or change the length of the body, so
-// parseHead accepts only what RFC 9112 allows.
+// parseHead parses the head of the response to a request with the given method, up to its
+// final blank line. The parser of nbhttp is lenient where a malformed line can hide
+// another one or change the length of the body, so parseHead accepts only what RFC 9112
+// allows.
 //
 // It fails with a *MalformedHeadError, also if a second status line is in the head: a
 // server that fails may send the beginning of a response that belongs to no request;
 // joined to the next response it would look like one head, with the status and the fields
 // of either.
-func parseHead(text []byte) (*responseHead, error) {
+func parseHead(text []byte, method string) (*responseHead, error) {
 	head := strings.TrimSuffix(string(text), headEnd)
 	if len(head) > 0 && containsStatusLine(head[1:]) {
 		return nil, &MalformedHeadError{Detail: "a second status line"}
@@ -37,7 +39,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &responseHead{statusLine: line, header: header}, nil
+	framing, err := readFraming(method, line, header)
+	if err != nil {
+		return nil, err
+	}
+	return &responseHead{statusLine: line, header: header, framing: framing}, nil
 }
 
 // endsConnection reports whether the server closes the connection after the response.
