--- a/edge/httpc/reader.go
+++ b/edge/httpc/reader.go
@@ -8,6 +8,8 @@
 	"github.com/go-faster/errors"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/sycamorecourse/sycamorecourse/edge/pollers"
 )
 
 // readBufferBytes is the size of the buffer of one read.
@@ -65,7 +67,7 @@
 			_ = conn.CloseWithError(err)
 			return
 		case n == 0:
-			_ = conn.CloseWithError(&ClosedError{})
+			_ = conn.CloseWithError(endCause(conn))
 			return
 		default:
 			conn.DataHandler()(conn, buffer[:n])
@@ -73,6 +75,16 @@
 	}
 }
 
+// endCause returns why a connection has ended whose end was read: a *ClosedError if the
+// server closed it in order. A server that closes it while a request is still being written
+// resets it as soon as more of the request arrives.
+func endCause(conn *nbio.Conn) error {
+	if err := pollers.PendingError(conn); err != nil {
+		return err
+	}
+	return &ClosedError{}
+}
+
 // releaseIfClosed returns what a connection still takes of its budget, if it was closed
 // while bytes were being handled.
 func releaseIfClosed(conn *nbio.Conn) {
--- a/proof/entry/raw_upstream_test.go
+++ b/proof/entry/raw_upstream_test.go
@@ -18,7 +18,6 @@
 // rawUpstream is an upstream that answers with any bytes. It serves one connection at
 // a time.
 type rawUpstream struct {
-	listener net.Listener
 	// answer writes the answer to a request, and reports whether the connection is kept.
 	answer func(r *http.Request, w io.Writer) bool
 	// requests counts those received.
@@ -27,40 +26,49 @@
 
 // rawUpstream starts an upstream of a service and registers it.
 func (s *site) rawUpstream(service, id string, answer func(*http.Request, io.Writer) bool) *rawUpstream {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	u := &rawUpstream{listener: ln, answer: answer}
-	t := thread.Start("raw-upstream", u.run)
-	DeferCleanup(func() {
-		_ = ln.Close()
-		Expect(t.Join()).To(Succeed())
-	})
-	s.write(operator.Upstream{
-		ID: id, Service: service, Address: ln.Addr().String(), FailureDomain: "z", Slots: 4, State: operator.Ready, Sequence: 1,
-	}.Write)
+	u := &rawUpstream{answer: answer}
+	s.rawListener(service, id, u.serve)
 	return u
 }
 
-func (u *rawUpstream) run() error {
+// serve answers the requests of one connection.
+func (u *rawUpstream) serve(conn *net.TCPConn) {
+	reader := bufio.NewReader(conn)
 	for {
-		conn, err := u.listener.Accept()
+		r, err := http.ReadRequest(reader)
 		if err != nil {
-			return nil
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		u.requests.Add(1)
+		if !u.answer(r, conn) {
+			return
 		}
-		reader := bufio.NewReader(conn)
+	}
+}
+
+// rawListener registers an upstream of a service that serves one connection after the
+// other, and closes each when serve returns.
+func (s *site) rawListener(service, id string, serve func(*net.TCPConn)) {
+	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	Expect(err).NotTo(HaveOccurred())
+	t := thread.Start("raw-upstream", func() error {
 		for {
-			r, err := http.ReadRequest(reader)
+			conn, err := ln.AcceptTCP()
 			if err != nil {
-				break
-			}
-			_, _ = io.Copy(io.Discard, r.Body)
-			u.requests.Add(1)
-			if !u.answer(r, conn) {
-				break
+				return nil
 			}
+			serve(conn)
+			_ = conn.Close()
 		}
-		_ = conn.Close()
-	}
+	})
+	DeferCleanup(func() {
+		_ = ln.Close()
+		Expect(t.Join()).To(Succeed())
+	})
+	s.write(operator.Upstream{
+		ID: id, Service: service, Address: ln.Addr().String(), FailureDomain: "z", Slots: 4, State: operator.Ready, Sequence: 1,
+	}.Write)
 }
 
 // rawAnswer returns an answer to a request with the given status and further lines of
