--- a/proof/scenarios/relay/fault.go
+++ b/proof/scenarios/relay/fault.go
@@ -11,4 +11,6 @@
 	Bytes int
 	// Delay is the time after a refusal until LateCopy sends its copy.
 	Delay time.Duration
+	// Line is the number of the line that SpoilHead adds, counted from 0 over and over.
+	Line int
 }
--- a/proof/scenarios/relay/fault_kind.go
+++ b/proof/scenarios/relay/fault_kind.go
@@ -20,4 +20,7 @@
 	// CopyOnRetry sends a refusal once more when the refused request is sent again on the
 	// same connection, before its response.
 	CopyOnRetry
+	// SpoilHead adds a line to the head of a response that no sound one has, and ends the
+	// connection after the piece. Fault.Line draws the line.
+	SpoilHead
 )
--- a/proof/scenarios/relay/pipe.go
+++ b/proof/scenarios/relay/pipe.go
@@ -136,6 +136,8 @@
 		if p.write(start[:min(len(start), head)]) {
 			p.writeEndless()
 		}
+	case SpoilHead:
+		_ = p.write(spoilHead(piece, fault.Line))
 	default:
 		_ = p.write(start)
 	}
--- a/proof/soak/faults/driver.go
+++ b/proof/soak/faults/driver.go
@@ -43,9 +43,11 @@
 	spoils *rand.Rand
 	// restarts draws upstreams that start anew at the same address, in the same way.
 	restarts *rand.Rand
-	log      zerolog.Logger
-	steps    []step
-	now      time.Duration
+	// heads draws upstreams that spoil the heads of their responses, in the same way.
+	heads *rand.Rand
+	log   zerolog.Logger
+	steps []step
+	now   time.Duration
 	// down maps a stopped gateway to the time of its restart.
 	down map[*world.Gateway]time.Duration
 	// killAt maps a gateway that got SIGTERM to the time of its SIGKILL.
@@ -56,7 +58,8 @@
 func New(w *world.World, seed uint64, log zerolog.Logger) *Driver {
 	return &Driver{
 		world: w, random: rand.New(rand.NewPCG(seed, 3)), signals: rand.New(rand.NewPCG(seed, 4)),
-		spoils: rand.New(rand.NewPCG(seed, 5)), restarts: rand.New(rand.NewPCG(seed, 6)), log: log,
+		spoils: rand.New(rand.NewPCG(seed, 5)), restarts: rand.New(rand.NewPCG(seed, 6)),
+		heads: rand.New(rand.NewPCG(seed, 7)), log: log,
 		down: make(map[*world.Gateway]time.Duration), killAt: make(map[*world.Gateway]time.Duration),
 	}
 }
@@ -149,6 +152,9 @@
 	if d.restarts.IntN(restartChance) == 0 {
 		d.restart(d.world.Upstreams[d.restarts.IntN(len(d.world.Upstreams))])
 	}
+	if d.heads.IntN(spoilChance) == 0 {
+		d.spoilHeads(d.world.Upstreams[d.heads.IntN(len(d.world.Upstreams))])
+	}
 	switch d.random.IntN(10) {
 	case 0, 1:
 		d.signal(g)
--- a/proof/soak/faults/spoil.go
+++ b/proof/soak/faults/spoil.go
@@ -30,6 +30,17 @@
 	d.add(time.Duration(d.spoils.Int64N(int64(longestSpoilTime)))+time.Millisecond, u.ID+" spoils no more", d.refusing(u, 0, relay.Fault{}))
 }
 
+// spoilHeads makes an upstream that answers in one piece add lines to the heads of its
+// responses that no sound head has.
+func (d *Driver) spoilHeads(u *world.Upstream) {
+	if u.Service != world.CallService {
+		return
+	}
+	fault := relay.Fault{Kind: relay.SpoilHead, Line: d.heads.Int()}
+	d.add(0, fmt.Sprintf("%s spoils its heads %+v", u.ID, fault), d.refusing(u, 0, fault))
+	d.add(time.Duration(d.heads.Int64N(int64(longestSpoilTime)))+time.Millisecond, u.ID+" spoils its heads no more", d.refusing(u, 0, relay.Fault{}))
+}
+
 // refusing returns the step that makes an upstream refuse one in so many requests, 0 being
 // none, and spoils its responses.
 func (d *Driver) refusing(u *world.Upstream, every int, fault relay.Fault) func() error {
