--- a/edge/httpc/connection.go
+++ b/edge/httpc/connection.go
@@ -1,6 +1,8 @@
 package httpc
 
 import (
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -111,13 +113,17 @@
 	call.Sink.Head(c.response.status, c.response.header)
 }
 
-// checkEcho fails with a *MismatchError if the response belongs to another request.
+// checkEcho fails with a *MismatchError if the response belongs to another request, or
+// does not tell beyond doubt to which one.
 func (c *connection) checkEcho(call *Call) error {
 	want, ok := call.id()
 	if !ok {
 		return nil
 	}
-	if got := c.response.header.Get(call.EchoHeader); want != got {
+	values := c.response.header.Values(call.EchoHeader)
+	isOther := func(value string) bool { return value != want }
+	if slices.ContainsFunc(values, isOther) || len(values) == 0 && want != "" {
+		got := strings.Join(values, ", ")
 		return &MismatchError{Field: call.EchoHeader, Want: want, Got: got, Status: c.response.status}
 	}
 	return nil
--- a/edge/httpc/mismatch_error.go
+++ b/edge/httpc/mismatch_error.go
@@ -9,7 +9,7 @@
 	Field string
 	// Want is its value in the request.
 	Want string
-	// Got is its value in the response.
+	// Got is its value in the response, or a list of its values.
 	Got string
 	// Status is the status of the response.
 	Status int
--- a/edge/httpc/spoilt_field_test.go
+++ b/edge/httpc/spoilt_field_test.go
@@ -87,3 +87,15 @@
 	Entry("a line feed in the reason", "HTTP/1.1 100 Con\ntinue\r\n\r\n"),
 	Entry("a line feed in a value", "HTTP/1.1 103 Early Hints\r\nKind: x\ny\r\n\r\n"),
 )
+
+// Guards against the response to another request: the head names two requests.
+var _ = DescribeTable("Client with a server whose head names two requests",
+	func(lines string) {
+		r, failed := callOnce(http.MethodGet, respondAndClose("HTTP/1.1 200 OK\r\n"+lines+"Content-Length: 5\r\n\r\nwhole"))
+		expectNoResponse(r, failed)
+	},
+	Entry("the other one last", "Name: a\r\nName: b\r\n"),
+	Entry("the other one first", "Name: b\r\nName: a\r\n"),
+	Entry("in one field", "Name: a, b\r\n"),
+	Entry("an empty name beside it", "Name: a\r\nName:\r\n"),
+)
