--- a/edge/httpd/exchange.go
+++ b/edge/httpd/exchange.go
@@ -49,38 +49,34 @@
 	streaming   bool
 }
 
-// Reply sends a complete response and ends the exchange.
+// Reply sends a complete response and ends the exchange. The response to HEAD has no body
+// and does not say how long that would be.
 func (x *Exchange) Reply(status int, header http.Header, body []byte) error {
 	defer x.finish()
 	res := x.response(status, header)
-	res.ContentLength = int64(len(body))
-	if x.Method != http.MethodHead {
-		res.Body = io.NopCloser(bytes.NewReader(body))
+	if x.Method == http.MethodHead {
+		return x.sendHead(res)
 	}
+	res.ContentLength = int64(len(body))
+	res.Body = io.NopCloser(bytes.NewReader(body))
 	return x.send(res)
 }
 
 // StartStream sends the status and the header of a chunked response. WriteStream
-// sends its body, EndStream ends it.
+// sends its body, EndStream ends it. The response to HEAD has no body.
 func (x *Exchange) StartStream(status int, header http.Header) error {
 	x.streaming = true
 	res := x.response(status, header)
-	var head bytes.Buffer
-	head.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
 	res.Header.Set("Transfer-Encoding", "chunked")
-	if res.Close {
-		res.Header.Set("Connection", "close")
-	}
-	if err := res.Header.Write(&head); err != nil {
-		return &DisconnectedError{Err: err}
-	}
-	head.WriteString("\r\n")
-	return x.write(head.Bytes())
+	return x.sendHead(res)
 }
 
 // WriteStream sends one chunk of the body. The chunk must not be empty: an empty
 // one would end the body.
 func (x *Exchange) WriteStream(piece []byte) error {
+	if x.Method == http.MethodHead {
+		return nil
+	}
 	var chunk bytes.Buffer
 	chunk.Grow(len(piece) + 16)
 	w := httputil.NewChunkedWriter(&chunk)
@@ -93,6 +89,9 @@
 // EndStream ends the body and the exchange.
 func (x *Exchange) EndStream() error {
 	defer x.finish()
+	if x.Method == http.MethodHead {
+		return nil
+	}
 	return x.write([]byte("0\r\n\r\n"))
 }
 
@@ -135,6 +134,20 @@
 	return x.write(out.Bytes())
 }
 
+// sendHead sends the status and the header of a response as they are.
+func (x *Exchange) sendHead(res *http.Response) error {
+	var head bytes.Buffer
+	head.WriteString("HTTP/1.1 " + strconv.Itoa(res.StatusCode) + " " + http.StatusText(res.StatusCode) + "\r\n")
+	if res.Close {
+		res.Header.Set("Connection", "close")
+	}
+	if err := res.Header.Write(&head); err != nil {
+		return &DisconnectedError{Err: err}
+	}
+	head.WriteString("\r\n")
+	return x.write(head.Bytes())
+}
+
 func (x *Exchange) write(p []byte) error {
 	if _, err := x.conn.Write(p); err != nil {
 		return &DisconnectedError{Err: err}
--- a/proof/entry/sound_answer_test.go
+++ b/proof/entry/sound_answer_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -25,6 +27,9 @@
 		Expect(got.status).To(Equal(status))
 		Expect(got.body).To(Equal(body))
 		Expect(got.header.Get("Response-Seal")).To(Equal("s"))
+		if method == http.MethodHead {
+			Expect(got.header.Get("Content-Length")).To(BeElementOf("", "6"))
+		}
 	},
 	Entry("without a reason", "POST", "HTTP/1.1 200 \r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nContent-Length: 6\r\n\r\nbooked", 200, "booked"),
 	Entry("with tabs around its length", "POST", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal:\ts\t\r\nContent-Length:\t6\t\r\n\r\nbooked", 200, "booked"),
@@ -37,3 +42,25 @@
 	Entry("with the length that HEAD leaves out", "HEAD", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nContent-Length: 6\r\n\r\n", 200, ""),
 	Entry("with an extension and a trailer", "POST", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n006;a=b\r\nbooked\r\n0\r\nKind: x\r\n\r\n", 200, "booked"),
 )
+
+// Guards against bytes after the answer to HEAD, which a caller takes for its next answer.
+var _ = It("An upstream that answers HEAD for a stream", func() {
+	s := newSite()
+	s.configure()
+	s.rawUpstream("llm", "odd", func(r *http.Request, w io.Writer) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Attempt-Id"))
+		return false
+	})
+	g := s.start("g1")
+	conn, err := net.Dial("tcp", g.settings.CallerAddress)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "HEAD /single/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 1\r\nCredential: key\r\nDeadline-Ms: 2000\r\nConnection: close\r\n\r\n")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(conn.SetReadDeadline(time.Now().Add(3 * time.Second))).To(Succeed())
+	// The gateway waits for the caller to close the connection.
+	got, _ := io.ReadAll(conn)
+	Expect(string(got)).To(HavePrefix("HTTP/1.1 200 "))
+	Expect(string(got)).To(HaveSuffix("\r\n\r\n"))
+	Expect(string(got)).NotTo(ContainSubstring("\r\n\r\n0"))
+})
