--- a/edge/httpc/connection.go
+++ b/edge/httpc/connection.go
@@ -18,7 +18,7 @@
 // noCall is the current call of a connection on which no request may be sent.
 var noCall = &Call{}
 
-// connection receives the parsed responses of one connection and passes them to
+// connection reads the responses of one connection and passes them to
 // the sink of the current call.
 //
 // The client's thread sets current when it sends a request. Completion, closing
--- a/proof/soak/faults/driver.go
+++ b/proof/soak/faults/driver.go
@@ -23,8 +23,6 @@
 	longestQuiet = 700 * time.Millisecond
 	// leaveTime is how long an upstream drains before it is removed.
 	leaveTime = 2500 * time.Millisecond
-	// spoilChance is one in how many draws adds an upstream that spoils its responses.
-	spoilChance = 3
 	// restartChance is one in how many draws adds an upstream that restarts.
 	restartChance = 3
 )
@@ -146,15 +144,10 @@
 func (d *Driver) draw() error {
 	g := d.world.Gateways[d.random.IntN(len(d.world.Gateways))]
 	u := d.world.Upstreams[d.random.IntN(len(d.world.Upstreams))]
-	if d.spoils.IntN(spoilChance) == 0 {
-		d.spoil(d.world.Upstreams[d.spoils.IntN(len(d.world.Upstreams))])
-	}
+	d.drawSpoils()
 	if d.restarts.IntN(restartChance) == 0 {
 		d.restart(d.world.Upstreams[d.restarts.IntN(len(d.world.Upstreams))])
 	}
-	if d.heads.IntN(spoilChance) == 0 {
-		d.spoilHeads(d.world.Upstreams[d.heads.IntN(len(d.world.Upstreams))])
-	}
 	switch d.random.IntN(10) {
 	case 0, 1:
 		d.signal(g)
--- a/proof/soak/faults/spoil.go
+++ b/proof/soak/faults/spoil.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// spoilChance is one in how many draws adds an upstream that spoils its responses, and
+	// one that spoils their heads.
+	spoilChance = 3
 	// rejectEvery is how often such an upstream refuses, and longestSpoil bounds the bytes
 	// of a response that it repeats or leaves.
 	rejectEvery  = 5
@@ -18,6 +21,16 @@
 	longestSpoilTime = 2 * time.Second
 )
 
+// drawSpoils draws whether upstreams spoil their responses.
+func (d *Driver) drawSpoils() {
+	if d.spoils.IntN(spoilChance) == 0 {
+		d.spoil(d.world.Upstreams[d.spoils.IntN(len(d.world.Upstreams))])
+	}
+	if d.heads.IntN(spoilChance) == 0 {
+		d.spoilHeads(d.world.Upstreams[d.heads.IntN(len(d.world.Upstreams))])
+	}
+}
+
 // spoil makes an upstream that answers in one piece refuse some requests, and spoils its
 // responses: it begins to repeat them, cuts them off, or adds bytes without end.
 func (d *Driver) spoil(u *world.Upstream) {
