--- a/proof/soak/faults/driver.go
+++ b/proof/soak/faults/driver.go
@@ -104,6 +104,8 @@
 	for g, at := range d.down {
 		if d.now >= at && !g.IsRunning() {
 			delete(d.down, g)
+			// The kill was meant for the former process.
+			delete(d.killAt, g)
 			if err := g.Start(); err != nil {
 				return err
 			}
