--- a/daemon/entry/duty_metrics.go
+++ b/daemon/entry/duty_metrics.go
@@ -19,6 +19,7 @@
 	refused  *prometheus.CounterVec
 	timeline prometheus.Gauge
 	restores prometheus.Counter
+	updates  *prometheus.CounterVec
 }
 
 func newDutyMetrics(registry *prometheus.Registry) *dutyMetrics {
@@ -39,8 +40,12 @@
 			Name: "sycamore_store_restores_total",
 			Help: "Changes of the store's timeline that this process has seen.",
 		}),
+		updates: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamore_table_updates_total",
+			Help: "Updates of the followed tables by the store or a hub, by table and outcome.",
+		}, []string{"table", "outcome"}),
 	}
-	registry.MustRegister(d.acquired, d.refused, d.timeline, d.restores)
+	registry.MustRegister(d.acquired, d.refused, d.timeline, d.restores, d.updates)
 	return d
 }
 
@@ -52,6 +57,13 @@
 	m.duties.refused.WithLabelValues(duty).Inc()
 }
 
+// recordTableUpdate counts an update; m may be nil.
+func (m *metrics) recordTableUpdate(table string, outcome tableOutcome) {
+	if m != nil {
+		m.duties.updates.WithLabelValues(table, outcome.label()).Inc()
+	}
+}
+
 func (m *metrics) recordTimeline(t rows.TimelineChange) {
 	m.duties.timeline.Set(float64(t.Present))
 	if t.Former > 0 {
--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -211,6 +211,7 @@
 		Usable:    len(w.roster.Usable(now)),
 		Draining:  w.roster.DrainingCount(),
 		Versions:  make(map[string]uint64),
+		Timelines: make(map[string]uint64),
 		AgeMillis: make(map[string]int64),
 	}
 	if w.config != nil {
@@ -218,6 +219,7 @@
 	}
 	for name, t := range w.tables {
 		d.Versions[name] = t.version
+		d.Timelines[name] = t.timeline
 		d.AgeMillis[name] = now.Sub(t.updatedAt).Milliseconds()
 	}
 	return d
--- a/daemon/entry/watch_apply.go
+++ b/daemon/entry/watch_apply.go
@@ -25,10 +25,12 @@
 	if t.table == served.ConfigTable {
 		w.applyRollouts(t, p, isList, now)
 	}
-	if p.Version < t.version {
+	isApplied := p.Version >= t.version
+	w.recordUpdate(t, p, isList, isApplied)
+	if !isApplied {
 		return false
 	}
-	t.version = p.Version
+	t.version, t.timeline = p.Version, p.Timeline
 	t.updatedAt = now
 	t.needsList = false
 	t.throttled = 0
@@ -40,6 +42,19 @@
 	return true
 }
 
+// recordUpdate counts an update of a table, and logs the first of each outcome in which a
+// timeline of the store begins for the table.
+func (w *watch) recordUpdate(t *watchedTable, p rows.Page, isList, isApplied bool) {
+	outcome := tableOutcome{timeline: p.Timeline, isList: isList, isApplied: isApplied}
+	w.metrics.recordTableUpdate(t.table, outcome)
+	if p.Timeline == t.timeline || outcome == t.logged {
+		return
+	}
+	t.logged = outcome
+	w.log.Info().Str("table", t.table).Bool("list", isList).Bool("applied", isApplied).Uint64("timeline", p.Timeline).
+		Uint64("version", p.Version).Uint64("known_timeline", t.timeline).Uint64("known_version", t.version).Msg("table_timeline")
+}
+
 // newsTimeout returns how long after a hub knew a table to be current this gateway
 // relies on that instead of calling the store.
 func (w *watch) newsTimeout() time.Duration {
@@ -95,7 +110,7 @@
 			continue
 		}
 		w.config = next
-		w.log.Info().Uint64("config", next.Version).Uint64("store_version", r.Version).
+		w.log.Info().Uint64("config", next.Version).Uint64("store_version", r.Version).Uint64("timeline", p.Timeline).
 			Int("routes", next.RouteCount()).Int("customers", len(next.Customers)).Msg("config_in_force")
 		w.configChanged = true
 		w.fleetChanged = true
@@ -118,7 +133,7 @@
 		id := r.Key.Sort
 		if r.Removed {
 			removed++
-			w.log.WithLevel(level).Str("upstream", id).Uint64("store_version", r.Version).Msg("upstream_removed")
+			w.log.WithLevel(level).Str("upstream", id).Uint64("store_version", r.Version).Uint64("timeline", p.Timeline).Msg("upstream_removed")
 			w.roster.Remove(id, now)
 			continue
 		}
@@ -132,15 +147,16 @@
 		if !isList {
 			w.roster.Set(u)
 			w.log.WithLevel(level).Str("upstream", id).Str("address", u.Address).Bool("leaving", u.Draining).
-				Uint64("store_version", r.Version).Msg("upstream_changed")
+				Uint64("store_version", r.Version).Uint64("timeline", p.Timeline).Msg("upstream_changed")
 		}
 	}
 	if !isList && level == zerolog.DebugLevel {
-		w.log.Info().Int("changed", len(list)).Int("removed", removed).Uint64("store_version", p.Version).Msg("upstreams_changed")
+		w.log.Info().Int("changed", len(list)).Int("removed", removed).Uint64("store_version", p.Version).
+			Uint64("timeline", p.Timeline).Msg("upstreams_changed")
 	}
 	if isList {
 		w.roster.Replace(list, now)
-		w.log.Info().Int("upstreams", len(list)).Uint64("store_version", p.Version).Msg("upstreams_read")
+		w.log.Info().Int("upstreams", len(list)).Uint64("store_version", p.Version).Uint64("timeline", p.Timeline).Msg("upstreams_read")
 	}
 	w.upstreamsChanged = true
 }
--- a/daemon/entry/watch_dump.go
+++ b/daemon/entry/watch_dump.go
@@ -7,5 +7,6 @@
 	Usable    int               `json:"upstreams_usable"`
 	Draining  int               `json:"upstreams_draining"`
 	Versions  map[string]uint64 `json:"table_versions"`
+	Timelines map[string]uint64 `json:"table_timelines"`
 	AgeMillis map[string]int64  `json:"table_ages_ms"`
 }
--- a/daemon/entry/watched_table.go
+++ b/daemon/entry/watched_table.go
@@ -35,4 +35,8 @@
 	isUnavailable bool
 	// updatedAt is the time of the last successful call.
 	updatedAt clock.Instant
+	// timeline is the store's timeline at the last update that was applied.
+	timeline uint64
+	// logged is the last outcome of an update of another timeline that was logged.
+	logged tableOutcome
 }
