--- a/proof/entry/drill_site_test.go
+++ b/proof/entry/drill_site_test.go
@@ -44,6 +44,13 @@
 
 // newDrillSite starts the gateways and waits until one of them does the duties.
 func newDrillSite(tellsEra bool) *drillSite {
+	d := startDrillSite(tellsEra)
+	Eventually(d.reports, dutiesLimit, "20ms").ShouldNot(BeEmpty())
+	return d
+}
+
+// startDrillSite starts the gateways.
+func startDrillSite(tellsEra bool) *drillSite {
 	d := &drillSite{site: newSite(), gateways: make(map[string]*gateway)}
 	if tellsEra {
 		posted(d.store, func() { d.store.SetEra(0) })
@@ -55,7 +62,6 @@
 		d.load(d.start(fmt.Sprintf("g%d", i)), time.Duration(i)*15*time.Millisecond)
 	}
 	DeferCleanup(d.show)
-	Eventually(d.reports, dutiesLimit, "20ms").ShouldNot(BeEmpty())
 	return d
 }
 
@@ -167,8 +173,14 @@
 
 // startDrill takes the store away and brings it back as it was at an instant.
 func (d *drillSite) startDrill(copiedAt clock.Instant, away time.Duration) {
+	d.startSlowDrill(copiedAt, away, rewriteDelay)
+}
+
+// startSlowDrill does the same, and the operator and the upstreams write again after a
+// delay.
+func (d *drillSite) startSlowDrill(copiedAt clock.Instant, away, rewrite time.Duration) {
 	posted(d.store, func() {
-		d.store.StartDrill(rowstore.Drill{Away: away, Age: d.store.Now().Sub(copiedAt), Rewrite: rewriteDelay})
+		d.store.StartDrill(rowstore.Drill{Away: away, Age: d.store.Now().Sub(copiedAt), Rewrite: rewrite})
 	})
 }
 
@@ -242,7 +254,8 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(d.gateways)) {
 		for line := d.gateways[name].logged(); line != ""; line = d.gateways[name].logged() {
-			if strings.Contains(line, "duties") || strings.Contains(line, "lease") || strings.Contains(line, "usage") {
+			if strings.Contains(line, "duties") || strings.Contains(line, "lease") || strings.Contains(line, "usage") ||
+				strings.Contains(line, "timeline") || strings.Contains(line, "upstream") {
 				GinkgoWriter.Printf("%s: %s", name, line)
 			}
 		}
--- a/proof/entry/site_test.go
+++ b/proof/entry/site_test.go
@@ -80,6 +80,18 @@
 // /once/ and the given ones.
 func (s *site) configure(more ...operator.Route) {
 	s.version += 3
+	s.configureFor([]operator.Customer{
+		{Name: "acme", Credentials: []string{"key"}}, {Name: "small", Credentials: []string{"few"}, Rate: 1, Burst: 2},
+	}, more...)
+}
+
+// dropKey writes a configuration without the customer small.
+func (s *site) dropKey() {
+	s.version += 3
+	s.configureFor([]operator.Customer{{Name: "acme", Credentials: []string{"key"}}})
+}
+
+func (s *site) configureFor(customers []operator.Customer, more ...operator.Route) {
 	route := func(prefix string, kind operator.RouteKind, service string, attempts int, resumes bool) operator.Route {
 		return operator.Route{
 			Name: "r" + prefix, Host: "h.example", Prefix: prefix, Kind: kind, Service: service, MaxAttempts: attempts,
@@ -96,7 +108,7 @@
 		Version: s.version, Routes: append(routes, more...),
 		Services:  []operator.Service{{Name: "llm"}, {Name: "app"}},
 		Limits:    operator.Limits{MaxHeaderBytes: 8000, MaxBodyBytes: 100000},
-		Customers: []operator.Customer{{Name: "acme", Credentials: []string{"key"}}, {Name: "small", Credentials: []string{"few"}, Rate: 1, Burst: 2}},
+		Customers: customers,
 	}.Write)
 }
 
