--- a/daemon/entry/duty_metrics.go
+++ b/daemon/entry/duty_metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/sycamorecourse/sycamorecourse/coord/lease"
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
+	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
 )
 
 // The singleton duties, as labels of metrics.
@@ -42,8 +43,8 @@
 		}),
 		updates: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamore_table_updates_total",
-			Help: "Updates of the followed tables by the store or a hub, by table and outcome.",
-		}, []string{"table", "outcome"}),
+			Help: "Updates of the followed tables by the store or a hub, by table and verdict.",
+		}, []string{"table", "verdict"}),
 	}
 	registry.MustRegister(d.acquired, d.refused, d.timeline, d.restores, d.updates)
 	return d
@@ -58,9 +59,9 @@
 }
 
 // recordTableUpdate counts an update; m may be nil.
-func (m *metrics) recordTableUpdate(table string, outcome tableOutcome) {
+func (m *metrics) recordTableUpdate(table string, verdict exchange.Verdict) {
 	if m != nil {
-		m.duties.updates.WithLabelValues(table, outcome.label()).Inc()
+		m.duties.updates.WithLabelValues(table, string(verdict)).Inc()
 	}
 }
 
--- a/daemon/entry/peers.go
+++ b/daemon/entry/peers.go
@@ -136,19 +136,13 @@
 	request := exchange.Poll{
 		Record: p.own, Hub: last.Hub, Position: last.Position, IsHub: p.plan.IsHub(), NeedsCounts: p.needsCounts || p.plan.IsHub(),
 	}
-	if !p.plan.IsHub() {
-		request.Versions = p.versions()
+	if p.plan.IsHub() {
+		return request
 	}
-	return request
-}
-
-// versions returns the versions of the copied tables.
-func (p *peers) versions() map[string]uint64 {
-	out := make(map[string]uint64, len(p.tables))
 	for name, t := range p.tables {
-		out[name] = t.Version()
+		request.SetTablePosition(name, t.Position())
 	}
-	return out
+	return request
 }
 
 // handleNews takes over the news of a hub. After a failure the next hub is polled at
@@ -181,9 +175,15 @@
 func (p *peers) applyTables(updates []exchange.TableUpdate, sentAt clock.Instant) {
 	current := make([]exchange.TableUpdate, 0, len(updates))
 	for _, u := range updates {
-		if t := p.tables[u.Table]; t != nil && u.IsCurrent() && u.Version >= t.Version() {
-			t.Apply(u, sentAt.Add(-u.Age))
+		t := p.tables[u.Table]
+		if t == nil || !u.IsCurrent() {
+			continue
+		}
+		switch t.Apply(u, sentAt.Add(-u.Age)) {
+		case exchange.Applied:
 			current = append(current, u)
+		case exchange.Gap:
+			p.forgetTable(u.Table)
 		}
 	}
 	if len(current) == 0 || p.plan.IsHub() {
@@ -193,18 +193,26 @@
 		p.log.Warn().Str("cause", err.Error()).Msg("message_dropped")
 		// The next news has to repeat what was dropped.
 		for _, u := range current {
-			p.tables[u.Table] = exchange.NewTableCopy(u.Table)
+			p.forgetTable(u.Table)
 		}
 	}
 }
 
+// forgetTable drops the copy of a table, so that the next news has the whole table.
+func (p *peers) forgetTable(name string) {
+	p.tables[name] = exchange.NewTableCopy(name)
+}
+
 func (p *peers) handleTable(m tableRead) {
 	t := p.tables[m.update.Table]
 	if m.failed {
 		t.Unavailable()
 		return
 	}
-	t.Apply(m.update, m.confirmedAt)
+	if t.Apply(m.update, m.confirmedAt) == exchange.Gap {
+		// The copy must not be confirmed any more.
+		p.forgetTable(m.update.Table)
+	}
 }
 
 // forwardRecords passes new records on to the cluster duty.
@@ -234,9 +242,10 @@
 		position = 0
 	}
 	news.Records, news.Position = p.recordsFor(request, position)
-	for name, version := range request.Versions {
+	for name := range request.Versions {
 		if t := p.tables[name]; t != nil {
-			news.Tables = append(news.Tables, t.Since(version, now))
+			known := request.TablePosition(name, t.Position().Timeline)
+			news.Tables = append(news.Tables, t.Since(known, now))
 		}
 	}
 	body, err := news.Encode()
@@ -270,10 +279,15 @@
 }
 
 func (p *peers) dump(now clock.Instant) peersDump {
-	return peersDump{
+	d := peersDump{
 		IsHub: p.plan.IsHub(), LastHub: p.lastHub, NewsAgeMillis: now.Sub(p.newsAt).Milliseconds(),
-		Polls: p.polls, Failures: p.failures, Answered: p.answered, Versions: p.versions(),
+		Polls: p.polls, Failures: p.failures, Answered: p.answered,
+		Versions: make(map[string]uint64), Timelines: make(map[string]uint64),
+	}
+	for name, t := range p.tables {
+		d.Versions[name], d.Timelines[name] = t.Position().Version, t.Position().Timeline
 	}
+	return d
 }
 
 // mergeRecords adds records to a log. After all records of the store it drops those
--- a/daemon/entry/peers_dump.go
+++ b/daemon/entry/peers_dump.go
@@ -9,4 +9,5 @@
 	Failures      uint64            `json:"failures"`
 	Answered      uint64            `json:"answered"`
 	Versions      map[string]uint64 `json:"versions"`
+	Timelines     map[string]uint64 `json:"timelines"`
 }
--- /dev/null
+++ b/daemon/entry/restored_table_test.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/coord/row"
+	"github.com/sycamorecourse/sycamorecourse/platform/rows"
+	"github.com/sycamorecourse/sycamorecourse/platform/served"
+	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
+)
+
+var _ = ginkgo.Describe("watch of the upstreams of a store that is restored from an older copy", func() {
+	const ready, leaving = "ready", "draining"
+	start := clock.Instant(time.Hour)
+	var w *watch
+	var t *watchedTable
+	ginkgo.BeforeEach(func() {
+		w = newWatch()
+		w.propagationLimit, w.log, w.metrics = 2*time.Second, zerolog.Nop(), newMetrics(prometheus.NewRegistry())
+		w.dispatch, w.cluster = ring.New[dispatchMessage]("dispatch", 64), ring.New[clusterMessage]("cluster", 64)
+		w.peers = ring.New[peerMessage]("peers", 64)
+		t = w.tables[served.UpstreamTable]
+	})
+	upstream := func(id, state string, version uint64) rows.Row {
+		value := `{"service":"app","address":"10.0.0.1:80","zone":"z","slots":4,"state":"` + state + `","born":7}`
+		return rows.Row{Key: row.Key{Sort: id}, Value: []byte(value), Version: version}
+	}
+	page := func(timeline, version uint64, list ...rows.Row) rows.Page {
+		return rows.Page{Timeline: timeline, Version: version, Rows: list}
+	}
+	read := func(since uint64, p rows.Page, isList bool, now clock.Instant) {
+		t.calling, t.calledAt, t.calledSince = true, now, since
+		w.handle(watchMessage{table: t.table, page: p, isList: isList}, now)
+	}
+	usable := func(now clock.Instant) (ids []string) {
+		for _, u := range w.roster.Usable(now) {
+			ids = append(ids, u.ID)
+		}
+		return ids
+	}
+
+	// Guards against requests to an upstream that leaves in the restored store while its
+	// versions are below the former ones (DRAIN).
+	ginkgo.It("follows the new timeline at once, with one list and no more", func() {
+		read(0, page(1, 2000, upstream("a", ready, 5), upstream("b", ready, 6)), true, start)
+		now := start.Add(time.Second)
+		read(2000, page(2, 2000), false, now)
+		Expect(t.needsList).To(BeTrue())
+		Expect(w.callDue(t)).To(Equal(now))
+		read(2000, page(2, 45, upstream("a", ready, 5), upstream("b", ready, 6)), true, now)
+		Expect(t.needsList).To(BeFalse())
+		read(45, page(2, 46, upstream("b", leaving, 46)), false, now.Add(time.Second))
+		Expect(usable(now.Add(time.Second))).To(ConsistOf("a"))
+		Expect(t.needsList).To(BeFalse())
+	})
+
+	// Guards against changes that are lost since a long poll from before the restore is
+	// answered after the first list of the new timeline.
+	ginkgo.It("reads the table again after changes since a version that it does not have", func() {
+		read(0, page(2, 45, upstream("a", ready, 5), upstream("b", ready, 6)), true, start)
+		read(50, page(2, 52, upstream("c", ready, 52)), false, start)
+		Expect(t.needsList).To(BeTrue())
+		Expect(usable(start)).To(ConsistOf("a", "b"))
+		read(50, page(2, 52, upstream("a", ready, 5), upstream("c", ready, 52)), true, start)
+		Expect(usable(start)).To(ConsistOf("a", "c"))
+	})
+
+	// Guards against a gateway that relies on a hub which has not noticed the restore, or on
+	// one of a former release which does not tell its timeline.
+	ginkgo.It("counts no news of a hub that is in another timeline", func() {
+		read(0, page(2, 45, upstream("a", ready, 5)), true, start)
+		due := w.callDue(t)
+		for _, timeline := range []uint64{0, 1} {
+			behind := exchange.TableUpdate{Table: t.table, Timeline: timeline, Version: 2000, Full: true, Available: true}
+			w.handle(watchMessage{updates: []exchange.TableUpdate{behind}, sentAt: start.Add(time.Second)}, start.Add(time.Second))
+			Expect(w.callDue(t)).To(Equal(due))
+			Expect(usable(start)).To(ConsistOf("a"))
+		}
+	})
+})
--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -197,7 +197,7 @@
 	if w.fleetChanged && w.cluster.Offer(setFleet{catalog: w.config, upstreams: w.roster.List()}) == nil {
 		w.fleetChanged = false
 	}
-	if !w.announcedReady && w.config != nil && w.tables[served.UpstreamTable].version > 0 && !w.upstreamsChanged && !w.configChanged {
+	if !w.announcedReady && w.config != nil && w.tables[served.UpstreamTable].cursor.Position().Version > 0 && !w.upstreamsChanged && !w.configChanged {
 		w.announcedReady = true
 		w.log.Info().Uint64("config", w.config.Version).Msg("ready")
 		offerOrLog(w.directory, directoryMessage{isConfigured: true}, w.log)
@@ -218,8 +218,8 @@
 		d.Config = w.config.Version
 	}
 	for name, t := range w.tables {
-		d.Versions[name] = t.version
-		d.Timelines[name] = t.timeline
+		d.Versions[name] = t.cursor.Position().Version
+		d.Timelines[name] = t.cursor.Position().Timeline
 		d.AgeMillis[name] = now.Sub(t.updatedAt).Milliseconds()
 	}
 	return d
--- a/daemon/entry/watch_apply.go
+++ b/daemon/entry/watch_apply.go
@@ -12,9 +12,9 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
 )
 
-// accept applies what the store or a hub has returned for a table. It returns false
-// if that is older than what is known.
-func (w *watch) accept(t *watchedTable, p rows.Page, isList bool, now clock.Instant) bool {
+// accept applies what the store or a hub has returned for a table, if the table's cursor
+// accepts it.
+func (w *watch) accept(t *watchedTable, p rows.Page, span exchange.Span, now clock.Instant) exchange.Verdict {
 	if t.isUnavailable {
 		t.isUnavailable = false
 		w.log.Info().Str("dependency", "store").Str("by", t.table).Msg("dependency_back")
@@ -22,37 +22,45 @@
 	if t.table == served.UpstreamTable {
 		w.roster.StoreAvailable(now)
 	}
-	if t.table == served.ConfigTable {
-		w.applyRollouts(t, p, isList, now)
-	}
-	isApplied := p.Version >= t.version
-	w.recordUpdate(t, p, isList, isApplied)
-	if !isApplied {
-		return false
+	former := t.cursor.Position()
+	verdict := t.cursor.Accept(span)
+	w.recordUpdate(t, former, span, verdict)
+	switch verdict {
+	case exchange.Gap:
+		t.needsList = true
+	case exchange.Applied:
+		t.updatedAt = now
+		t.throttled = 0
+		if span.IsList {
+			t.needsList = false
+		}
+		w.apply(t, p, span.IsList, now)
 	}
-	t.version, t.timeline = p.Version, p.Timeline
-	t.updatedAt = now
-	t.needsList = false
-	t.throttled = 0
+	return verdict
+}
+
+// apply takes over the rows of a table.
+func (w *watch) apply(t *watchedTable, p rows.Page, isList bool, now clock.Instant) {
 	if t.table == served.ConfigTable {
+		w.applyRollouts(p, isList, now)
 		w.applyConfig(p)
-		return true
+		return
 	}
 	w.applyUpstreams(p, isList, now)
-	return true
 }
 
-// recordUpdate counts an update of a table, and logs the first of each outcome in which a
+// recordUpdate counts an update of a table, and logs the first of each verdict in which a
 // timeline of the store begins for the table.
-func (w *watch) recordUpdate(t *watchedTable, p rows.Page, isList, isApplied bool) {
-	outcome := tableOutcome{timeline: p.Timeline, isList: isList, isApplied: isApplied}
-	w.metrics.recordTableUpdate(t.table, outcome)
-	if p.Timeline == t.timeline || outcome == t.logged {
+func (w *watch) recordUpdate(t *watchedTable, former exchange.Position, span exchange.Span, verdict exchange.Verdict) {
+	w.metrics.recordTableUpdate(t.table, verdict)
+	outcome := exchange.Outcome{Timeline: span.End.Timeline, IsList: span.IsList, Verdict: verdict}
+	if span.End.Timeline == former.Timeline || outcome == t.logged {
 		return
 	}
 	t.logged = outcome
-	w.log.Info().Str("table", t.table).Bool("list", isList).Bool("applied", isApplied).Uint64("timeline", p.Timeline).
-		Uint64("version", p.Version).Uint64("known_timeline", t.timeline).Uint64("known_version", t.version).Msg("table_timeline")
+	w.log.Info().Str("table", t.table).Bool("list", span.IsList).Str("verdict", string(verdict)).
+		Uint64("timeline", span.End.Timeline).Uint64("version", span.End.Version).
+		Uint64("known_timeline", former.Timeline).Uint64("known_version", former.Version).Msg("table_timeline")
 }
 
 // newsTimeout returns how long after a hub knew a table to be current this gateway
@@ -65,10 +73,10 @@
 func (w *watch) handleNews(updates []exchange.TableUpdate, sentAt, now clock.Instant) {
 	for _, u := range updates {
 		t := w.tables[u.Table]
-		if t == nil || (t.version == 0 && !u.Full) {
+		if t == nil {
 			continue
 		}
-		if w.accept(t, pageOf(u), u.Full, now) {
+		if w.accept(t, pageOf(u), u.Span(), now) == exchange.Applied {
 			confirmedAt := sentAt.Add(-u.Age)
 			t.newsUntil = max(t.newsUntil, confirmedAt.Add(w.newsTimeout()))
 		}
@@ -77,8 +85,8 @@
 
 // sharePage hands what the store has returned to the peers duty. If that has no
 // room, the whole table is read again, since the peers duty must not miss a change.
-func (w *watch) sharePage(t *watchedTable, p rows.Page, isList bool, now clock.Instant) {
-	if err := w.peers.Offer(tableRead{update: updateOf(t.table, p, isList), confirmedAt: w.confirmedAt(t, p, now)}); err != nil {
+func (w *watch) sharePage(t *watchedTable, p rows.Page, span exchange.Span, now clock.Instant) {
+	if err := w.peers.Offer(tableRead{update: updateOf(t.table, p, span), confirmedAt: w.confirmedAt(t, p, now)}); err != nil {
 		w.log.Warn().Str("cause", err.Error()).Msg("message_dropped")
 		t.needsList = true
 	}
--- a/daemon/entry/watch_calls.go
+++ b/daemon/entry/watch_calls.go
@@ -32,7 +32,7 @@
 
 // callDue returns when the next call for a table is due.
 func (w *watch) callDue(t *watchedTable) clock.Instant {
-	if w.isHub || t.needsList || t.needsOrders {
+	if w.isHub || t.needsList {
 		return t.nextCallAt
 	}
 	return max(t.nextCallAt, t.newsUntil)
@@ -46,8 +46,9 @@
 		t.nextCallAt = now.Add(watchRetryDelay)
 		return
 	}
-	isList := t.needsList || t.needsOrders
-	t.calling, t.calledAt, t.heldFor = true, now, 0
+	known := t.cursor.Position()
+	isList := t.needsList || w.store.Timeline() > known.Timeline
+	t.calling, t.calledAt, t.heldFor, t.calledSince = true, now, 0, known.Version
 	done := func(p rows.Page, err error) {
 		offerResult(w.inbox, watchMessage{table: t.table, isList: isList, page: p, err: err}, w.log)
 	}
@@ -56,7 +57,7 @@
 		return
 	}
 	t.heldFor = w.feedWait()
-	w.store.Feed(t.table, t.version, t.heldFor, done)
+	w.store.Feed(t.table, known.Version, t.heldFor, done)
 }
 
 // confirmedAt returns until when the response to the last call for a table was current
@@ -73,15 +74,18 @@
 		w.handleFailure(t, m.err, now)
 		return
 	}
-	if !w.accept(t, m.page, m.isList, now) {
-		// The response shows an older state than an earlier one.
+	span := spanOf(m.page, m.isList, t.calledSince)
+	switch w.accept(t, m.page, span, now) {
+	case exchange.Stale:
 		t.nextCallAt = now.Add(watchRetryDelay)
-		return
-	}
-	if len(m.page.Rows) > 0 && t.table == served.UpstreamTable {
-		t.nextCallAt = now.Add(w.batchDelay())
+	case exchange.Gap:
+		t.nextCallAt = now
+	case exchange.Applied:
+		if len(m.page.Rows) > 0 && t.table == served.UpstreamTable {
+			t.nextCallAt = now.Add(w.batchDelay())
+		}
+		w.sharePage(t, m.page, span, now)
 	}
-	w.sharePage(t, m.page, m.isList, now)
 }
 
 func (w *watch) handleFailure(t *watchedTable, err error, now clock.Instant) {
--- a/daemon/entry/watch_restore_test.go
+++ b/daemon/entry/watch_restore_test.go
@@ -40,13 +40,15 @@
 		}
 		return p
 	}
-	read := func(p rows.Page, isList bool) {
-		t.calling = true
+	// readSince reads what a call returned that asked for changes after a version.
+	readSince := func(since uint64, p rows.Page, isList bool) {
+		t.calling, t.calledSince = true, since
 		w.handle(watchMessage{table: served.ConfigTable, page: p, isList: isList}, start)
 		w.publish(start)
 	}
-	news := func(p rows.Page, isFull bool) {
-		w.handle(watchMessage{updates: []exchange.TableUpdate{updateOf(served.ConfigTable, p, isFull)}, sentAt: start}, start)
+	read := func(p rows.Page, isList bool) { readSince(t.cursor.Position().Version, p, isList) }
+	news := func(u exchange.TableUpdate) {
+		w.handle(watchMessage{updates: []exchange.TableUpdate{u}, sentAt: start}, start)
 		w.publish(start)
 	}
 	// published returns the revision of the order that the cluster duty knows; 0 for none.
@@ -72,30 +74,33 @@
 		read(page(2, 52), false)
 		Expect(published()).To(BeZero())
 		Expect(w.callDue(t)).To(BeNumerically("<=", start))
-		Expect(t.needsOrders).To(BeTrue())
+		Expect(t.needsList).To(BeTrue())
 		read(page(2, 45, 40), true)
 		Expect(published()).To(Equal(rollout.Revision(2, 40)))
-		Expect(t.needsOrders).To(BeFalse())
+		Expect(t.needsList).To(BeFalse())
 		// What was written between the two versions has not been read.
-		read(page(2, 55), false)
-		Expect(t.needsOrders).To(BeTrue())
+		readSince(52, page(2, 55), false)
+		Expect(t.needsList).To(BeTrue())
 	})
 
-	// Guards against the same by the news of a hub, which may have rows of two timelines.
+	// Guards against the same by the news of a hub, which may be in another timeline.
 	ginkgo.It("takes no orders of another timeline from a hub", func() {
 		hub := exchange.NewTableCopy(served.ConfigTable)
-		hub.Apply(updateOf(served.ConfigTable, page(1, 50, 40), true), start)
-		news(pageOf(hub.Since(0, start)), true)
+		first := exchange.Position{Timeline: 1, Version: 50}
+		hub.Apply(updateOf(served.ConfigTable, page(1, 50, 40), spanOf(page(1, 50), true, 0)), start)
+		news(hub.Since(exchange.Position{}, start))
 		Expect(published()).To(Equal(rollout.Revision(1, 40)))
-		hub.Apply(updateOf(served.ConfigTable, page(2, 60, 55), false), start)
-		Expect(hub.Since(50, start).Timeline).To(BeZero())
-		news(pageOf(hub.Since(50, start)), false)
+		changed := updateOf(served.ConfigTable, page(2, 60, 55), spanOf(page(2, 60), false, 50))
+		// Neither the hub nor a gateway takes changes of another timeline over.
+		Expect(hub.Apply(changed, start)).To(Equal(exchange.Gap))
+		Expect(hub.Since(first, start).Entries).To(BeEmpty())
+		news(changed)
 		Expect(published()).To(BeZero())
-		Expect(t.needsOrders).To(BeTrue())
-		hub.Apply(updateOf(served.ConfigTable, page(2, 61, 55), true), start)
-		news(pageOf(hub.Since(0, start)), true)
+		Expect(t.needsList).To(BeTrue())
+		hub.Apply(updateOf(served.ConfigTable, page(2, 61, 55), spanOf(page(2, 61), true, 0)), start)
+		news(hub.Since(first, start))
 		Expect(published()).To(Equal(rollout.Revision(2, 55)))
-		Expect(t.needsOrders).To(BeFalse())
+		Expect(t.needsList).To(BeFalse())
 	})
 
 	// Guards against a roll-out that ends since its order is lost for a moment, and one that
--- a/daemon/entry/watch_rollouts.go
+++ b/daemon/entry/watch_rollouts.go
@@ -9,22 +9,9 @@
 	"github.com/sycamorecourse/sycamorecourse/serving/rollout"
 )
 
-// applyRollouts takes over the orders of roll-outs. The table is listed if changes may be
-// missing, as when the store was restored from an older copy.
-func (w *watch) applyRollouts(t *watchedTable, p rows.Page, isList bool, now clock.Instant) {
-	r := w.readingOf(p, isList)
-	r.Since = t.version
-	if w.rollouts.NeedsList(r) {
-		t.needsOrders = true
-		return
-	}
-	if !w.rollouts.Follows(r) {
-		return
-	}
-	if isList {
-		t.needsOrders = false
-	}
-	if w.rollouts.Apply(r, now) {
+// applyRollouts takes over the orders of roll-outs.
+func (w *watch) applyRollouts(p rows.Page, isList bool, now clock.Instant) {
+	if w.rollouts.Apply(w.readingOf(p, isList), now) {
 		w.rolloutsChanged = true
 		w.logRollouts()
 	}
@@ -32,7 +19,7 @@
 
 // readingOf returns what a page tells of the orders of roll-outs.
 func (w *watch) readingOf(p rows.Page, isList bool) rollout.Reading {
-	reading := rollout.Reading{Timeline: p.Timeline, Version: p.Version, IsList: isList}
+	reading := rollout.Reading{Timeline: p.Timeline, IsList: isList}
 	for _, r := range p.Rows {
 		service, isOrder := strings.CutPrefix(r.Key.Sort, served.RolloutPrefix)
 		if !isOrder {
--- a/daemon/entry/watch_test.go
+++ b/daemon/entry/watch_test.go
@@ -42,7 +42,8 @@
 		w.dispatch = ring.New[dispatchMessage]("dispatch", 64)
 		w.peers = ring.New[peerMessage]("peers", 64)
 		t := w.tables[served.UpstreamTable]
-		t.needsList, t.version, t.calling, t.calledAt = false, 7, true, start
+		t.cursor.Accept(exchange.Span{End: exchange.Position{Version: 7}, IsList: true})
+		t.needsList, t.calling, t.calledAt = false, true, start
 		// The process was suspended while the response waited to be read.
 		w.handle(watchMessage{table: served.UpstreamTable, page: rows.Page{Version: 7}}, start.Add(4*time.Second))
 		m, err := w.peers.Take()
@@ -57,7 +58,8 @@
 		w.peers = ring.New[peerMessage]("peers", 64)
 		t := w.tables[served.UpstreamTable]
 		respond := func(called, sent, arrived time.Duration) time.Duration {
-			t.needsList, t.version, t.calling, t.calledAt, t.heldFor = false, 7, true, start.Add(called), w.feedWait()
+			t.cursor.Accept(exchange.Span{End: exchange.Position{Version: 7}, IsList: true})
+			t.needsList, t.calling, t.calledAt, t.heldFor = false, true, start.Add(called), w.feedWait()
 			page := rows.Page{Version: 7, Clock: time.Minute + sent}
 			w.handle(watchMessage{table: served.UpstreamTable, page: page}, start.Add(arrived))
 			m, err := w.peers.Take()
--- a/serving/exchange/doc.go
+++ b/serving/exchange/doc.go
@@ -7,6 +7,10 @@
 // have changed since its last one. Hubs poll each other in the same way, so a
 // record reaches all gateways within a few polls.
 //
+// Every follower of a table, of the store's feed as of a hub's news, has a [Cursor], which
+// alone decides whether an update counts: the store may have been restored from an older
+// copy and give versions out again.
+//
 // # Invariants
 //
 //   - A row is passed on with the version that the store gave it, so a gateway may
--- a/serving/exchange/exchange_test.go
+++ b/serving/exchange/exchange_test.go
@@ -44,18 +44,18 @@
 		t := exchange.NewTableCopy("t")
 		t.Apply(exchange.TableUpdate{Full: true, Version: 10, Entries: []exchange.Entry{entry("a", 3), entry("b", 9)}}, at(0))
 		t.Apply(exchange.TableUpdate{Version: 12, Entries: []exchange.Entry{entry("c", 11), {Key: "a", Version: 12, Removed: true}}}, at(time.Second))
-		u := t.Since(10, at(2*time.Second))
+		u := t.Since(exchange.Position{Version: 10}, at(2*time.Second))
 		Expect(u.Full).To(BeFalse())
 		Expect(u.Version).To(Equal(uint64(12)))
 		Expect(u.Age).To(Equal(time.Second))
 		Expect(u.Entries).To(ConsistOf(entry("c", 11), exchange.Entry{Key: "a", Version: 12, Removed: true}))
-		Expect(t.Since(12, at(0)).Entries).To(BeEmpty())
+		Expect(t.Since(exchange.Position{Version: 12}, at(0)).Entries).To(BeEmpty())
 	})
 
 	It("returns the whole table to a gateway whose version it can't tell changes from", func() {
 		t := exchange.NewTableCopy("t")
 		t.Apply(exchange.TableUpdate{Full: true, Version: 10, Entries: []exchange.Entry{entry("b", 9)}}, at(0))
-		u := t.Since(7, at(0))
+		u := t.Since(exchange.Position{Version: 7}, at(0))
 		Expect(u.Full).To(BeTrue())
 		Expect(u.Entries).To(ConsistOf(entry("b", 9)))
 	})
@@ -63,20 +63,20 @@
 	It("never goes back, and takes no changes before the whole table", func() {
 		t := exchange.NewTableCopy("t")
 		t.Apply(exchange.TableUpdate{Version: 5, Entries: []exchange.Entry{entry("x", 5)}}, at(0))
-		Expect(t.Version()).To(BeZero())
+		Expect(t.Position()).To(BeZero())
 		t.Apply(exchange.TableUpdate{Full: true, Version: 10, Entries: []exchange.Entry{entry("a", 3)}}, at(0))
 		t.Apply(exchange.TableUpdate{Full: true, Version: 8, Entries: []exchange.Entry{entry("old", 3)}}, at(time.Second))
-		Expect(t.Since(0, at(time.Second)).Entries).To(ConsistOf(entry("a", 3)))
+		Expect(t.Since(exchange.Position{Version: 0}, at(time.Second)).Entries).To(ConsistOf(entry("a", 3)))
 	})
 
 	It("is not current when a call to the store has failed, or long after the last one", func() {
 		t := exchange.NewTableCopy("t")
-		Expect(t.Since(0, at(0)).IsCurrent()).To(BeFalse())
+		Expect(t.Since(exchange.Position{Version: 0}, at(0)).IsCurrent()).To(BeFalse())
 		t.Apply(exchange.TableUpdate{Full: true, Version: 10}, at(0))
-		Expect(t.Since(0, at(time.Second)).IsCurrent()).To(BeTrue())
-		Expect(t.Since(0, at(2*time.Second)).IsCurrent()).To(BeFalse())
+		Expect(t.Since(exchange.Position{Version: 0}, at(time.Second)).IsCurrent()).To(BeTrue())
+		Expect(t.Since(exchange.Position{Version: 0}, at(2*time.Second)).IsCurrent()).To(BeFalse())
 		t.Unavailable()
-		Expect(t.Since(0, at(0)).IsCurrent()).To(BeFalse())
+		Expect(t.Since(exchange.Position{Version: 0}, at(0)).IsCurrent()).To(BeFalse())
 	})
 
 	It("bounds the removals that it remembers", func() {
@@ -85,8 +85,8 @@
 		for i := range uint64(10_000) {
 			t.Apply(exchange.TableUpdate{Version: i + 2, Entries: []exchange.Entry{{Key: fmt.Sprint(i), Version: i + 2, Removed: true}}}, at(0))
 		}
-		Expect(len(t.Since(1, at(0)).Entries)).To(BeZero())
-		Expect(t.Since(1, at(0)).Full).To(BeTrue())
+		Expect(len(t.Since(exchange.Position{Version: 1}, at(0)).Entries)).To(BeZero())
+		Expect(t.Since(exchange.Position{Version: 1}, at(0)).Full).To(BeTrue())
 	})
 })
 
@@ -112,7 +112,7 @@
 			states[version] = live
 		}
 		read := func(since uint64, full bool) exchange.TableUpdate {
-			u := exchange.TableUpdate{Table: "t", Version: version, Full: full, Available: true}
+			u := exchange.TableUpdate{Table: "t", Version: version, Since: since, Full: full, Available: true}
 			for _, e := range store {
 				if (full && !e.Removed) || (!full && e.Version > since) {
 					u.Entries = append(u.Entries, e)
@@ -129,23 +129,23 @@
 			case "list":
 				c.Apply(read(0, true), at(0))
 			case "feed":
-				if c.Version() > 0 {
-					c.Apply(read(c.Version(), false), at(0))
+				if c.Position().Version > 0 {
+					c.Apply(read(c.Position().Version, false), at(0))
 				}
 			case "news":
-				c.Apply(copies[rapid.IntRange(0, 2).Draw(t, "hub")].Since(c.Version(), at(0)), at(0))
+				c.Apply(copies[rapid.IntRange(0, 2).Draw(t, "hub")].Since(c.Position(), at(0)), at(0))
 			case "restart":
 				*c = *exchange.NewTableCopy("t")
 			}
 			got := map[string]uint64{}
-			for _, e := range c.Since(0, at(0)).Entries {
+			for _, e := range c.Since(exchange.Position{}, at(0)).Entries {
 				if !e.Removed {
 					got[e.Key] = e.Version
 				}
 			}
-			want := states[c.Version()]
+			want := states[c.Position().Version]
 			if fmt.Sprint(got) != fmt.Sprint(want) {
-				t.Fatalf("at version %d the copy holds %v, the store held %v", c.Version(), got, want)
+				t.Fatalf("at version %d the copy holds %v, the store held %v", c.Position().Version, got, want)
 			}
 		}
 	})
--- a/serving/exchange/table_copy.go
+++ b/serving/exchange/table_copy.go
@@ -6,17 +6,13 @@
 const maxTombstones = 4096
 
 // TableCopy is a copy of a table of the store with the version of each row, from
-// which the changes since any recent version can be told. One thread owns it.
+// which the changes since any recent position can be told. One thread owns it.
 type TableCopy struct {
 	table   string
 	entries map[string]Entry
-	// version is the version of the store up to which the copy is complete; 0 until
-	// the whole table has been read.
-	version uint64
-	// timeline is that of the store which gave out all versions of the copy; 0 if there may
-	// be several.
-	timeline uint64
-	// completeFrom is the least version since which all removals are remembered.
+	cursor  Cursor
+	// completeFrom is the least version of the cursor's timeline since which all removals
+	// are remembered.
 	completeFrom uint64
 	tombstones   int
 	confirmedAt  clock.Instant
@@ -28,29 +24,28 @@
 	return &TableCopy{table: table, entries: make(map[string]Entry)}
 }
 
-// Version returns the version of the store up to which the copy is complete.
-func (t *TableCopy) Version() uint64 {
-	return t.version
+// Position returns the position up to which the copy is complete.
+func (t *TableCopy) Position() Position {
+	return t.cursor.Position()
 }
 
-// Apply applies an update of which it is known that it was current at an instant.
-// An update that is older than the copy only confirms nothing and is ignored.
-func (t *TableCopy) Apply(u TableUpdate, confirmedAt clock.Instant) {
-	if u.Version < t.version || (t.version == 0 && !u.Full) {
-		return
+// Apply applies an update of which it is known that it was current at an instant, if its
+// cursor accepts it.
+func (t *TableCopy) Apply(u TableUpdate, confirmedAt clock.Instant) Verdict {
+	verdict := t.cursor.Accept(u.Span())
+	if verdict != Applied {
+		return verdict
 	}
 	if u.Full {
 		t.replace(u)
-	} else if u.Timeline != t.timeline {
-		t.timeline = 0
 	}
 	for _, e := range u.Entries {
 		t.set(e)
 	}
-	t.version = u.Version
 	t.confirmedAt = max(t.confirmedAt, confirmedAt)
 	t.available = true
 	t.dropTombstones()
+	return Applied
 }
 
 // replace removes the rows that a full update lacks. When they were removed is not
@@ -59,7 +54,6 @@
 	t.entries = make(map[string]Entry, len(u.Entries))
 	t.tombstones = 0
 	t.completeFrom = u.Version
-	t.timeline = u.Timeline
 }
 
 func (t *TableCopy) set(e Entry) {
@@ -83,7 +77,7 @@
 		}
 	}
 	t.tombstones = 0
-	t.completeFrom = t.version
+	t.completeFrom = t.Position().Version
 }
 
 // Unavailable records that a call to the store for the table has failed.
@@ -91,16 +85,21 @@
 	t.available = false
 }
 
-// Since returns what has changed after a version, or the whole table if that can't
-// be told.
-func (t *TableCopy) Since(version uint64, now clock.Instant) TableUpdate {
-	u := TableUpdate{Table: t.table, Version: t.version, Age: now.Sub(t.confirmedAt), Available: t.available, Timeline: t.timeline}
-	if version >= t.version {
+// Since returns what has changed after the position of a follower, or the whole table if
+// that can't be told. A follower that is ahead of the copy gets the copy's position.
+func (t *TableCopy) Since(known Position, now clock.Instant) TableUpdate {
+	end := t.Position()
+	u := TableUpdate{
+		Table: t.table, Version: end.Version, Timeline: end.Timeline, Since: min(known.Version, end.Version),
+		Age: now.Sub(t.confirmedAt), Available: t.available,
+	}
+	isLater := end.Timeline > known.Timeline
+	if known.Timeline > end.Timeline || (!isLater && known.Version >= end.Version) {
 		return u
 	}
-	u.Full = version < t.completeFrom
+	u.Full = isLater || known.Version < t.completeFrom
 	for _, e := range t.entries {
-		isNew := e.Version > version
+		isNew := e.Version > known.Version
 		if (u.Full && !e.Removed) || (!u.Full && isNew) {
 			u.Entries = append(u.Entries, e)
 		}
--- a/serving/exchange/table_update.go
+++ b/serving/exchange/table_update.go
@@ -17,9 +17,16 @@
 	// Available is set if the sender's last call to the store for this table
 	// succeeded.
 	Available bool `cbor:"6,keyasint,omitempty"`
-	// Timeline is that of the store which gave out all versions of the update; 0 if they
-	// may be of several, or the store does not tell.
+	// Timeline is that of the store which has Version; 0 if the store does not tell.
 	Timeline uint64 `cbor:"7,keyasint,omitempty"`
+	// Since is the version after which Entries has all changes. Senders of former releases
+	// leave it out; they have all changes since the version in the Poll.
+	Since uint64 `cbor:"8,keyasint,omitempty"`
+}
+
+// Span returns the part of the table's history that the update tells.
+func (u TableUpdate) Span() Span {
+	return Span{End: Position{Timeline: u.Timeline, Version: u.Version}, IsList: u.Full, Since: u.Since}
 }
 
 // maxNewsAge is the age up to which an update counts as current.
--- a/serving/rollout/book.go
+++ b/serving/rollout/book.go
@@ -9,7 +9,7 @@
 // Book holds the orders in force, as read from a store that may be restored from an older
 // copy. One thread owns it.
 type Book struct {
-	timeline, version uint64
+	timeline uint64
 	// orders are those of the table. kept are those that were in force in the former
 	// timeline and are not there yet; they stay in force until keptUntil.
 	orders, kept map[string]Order
@@ -21,36 +21,14 @@
 	return &Book{orders: make(map[string]Order), kept: make(map[string]Order)}
 }
 
-// Follows reports whether a reading can be applied: it is not older than what is known,
-// and nothing is missing in between.
-func (b *Book) Follows(r Reading) bool {
-	if r.IsList && r.Timeline > b.timeline {
-		return true
-	}
-	return r.Timeline == b.timeline && r.Version >= b.version && (r.IsList || r.Since <= b.version)
-}
-
-// NeedsList reports whether the whole table has to be read since a reading that can't be
-// applied may tell something new.
-func (b *Book) NeedsList(r Reading) bool {
-	switch {
-	case b.Follows(r):
-		return false
-	case r.Timeline == 0:
-		return r.IsList || len(r.Orders)+len(r.Removed)+len(r.Invalid) > 0
-	default:
-		return r.Timeline > b.timeline || (r.Timeline == b.timeline && r.Version >= b.version)
-	}
-}
-
-// Apply takes over a reading that follows. It returns whether the orders in force have
-// changed.
+// Apply takes over a reading, which must follow those before it without a gap: the first
+// of a timeline is a list. It returns whether the orders in force have changed.
 func (b *Book) Apply(r Reading, now clock.Instant) bool {
 	before := b.Orders()
 	if r.Timeline > b.timeline {
 		b.kept, b.keptUntil = before, now.Add(RestoreGrace)
 	}
-	b.timeline, b.version = r.Timeline, r.Version
+	b.timeline = r.Timeline
 	if r.IsList {
 		b.orders = make(map[string]Order)
 	}
