--- a/daemon/entry/restored_table_test.go
+++ b/daemon/entry/restored_table_test.go
@@ -84,4 +84,16 @@
 			Expect(usable(start)).To(ConsistOf("a"))
 		}
 	})
+
+	// Guards against an outage that nobody had: a late response of the former timeline says
+	// nothing of the store.
+	ginkgo.It("takes a late response of the former timeline for no outage", func() {
+		read(0, page(1, 2000, upstream("a", ready, 5)), true, start)
+		t.calling, t.calledAt = true, start
+		late := &row.UnavailableError{Err: &row.TimelineError{Call: 2, Response: 1}}
+		w.handle(watchMessage{table: t.table, err: late}, start.Add(time.Second))
+		Expect(t.isUnavailable).To(BeFalse())
+		Expect(t.needsList).To(BeTrue())
+		Expect(w.callDue(t)).To(BeNumerically(">", start.Add(time.Second)))
+	})
 })
--- a/daemon/entry/watch_calls.go
+++ b/daemon/entry/watch_calls.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
+	"github.com/sycamorecourse/sycamorecourse/coord/row"
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/platform/served"
 	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
@@ -97,6 +98,12 @@
 		t.nextCallAt = now
 		return
 	}
+	var late *row.TimelineError
+	if errors.As(err, &late) {
+		// The store has answered, before it was restored.
+		t.needsList = true
+		return
+	}
 	if t.table == served.UpstreamTable {
 		w.roster.StoreUnavailable(t.calledAt)
 	}
