--- a/daemon/entry/restored_table_test.go
+++ b/daemon/entry/restored_table_test.go
@@ -14,6 +14,7 @@
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/platform/served"
 	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
+	"github.com/sycamorecourse/sycamorecourse/serving/roster"
 )
 
 var _ = ginkgo.Describe("watch of the upstreams of a store that is restored from an older copy", func() {
@@ -85,6 +86,25 @@
 		}
 	})
 
+	// Guards against requests to an upstream that has left, since the copy from which the store
+	// was restored still calls it ready; it comes from the store, or from a hub.
+	ginkgo.It("takes back from no list of the new timeline what it knew", func() {
+		for _, isNews := range []bool{false, true} {
+			w.tables[t.table], w.roster = &watchedTable{table: t.table, needsList: true}, roster.New(recoveryGrace)
+			t = w.tables[t.table]
+			read(0, page(1, 2000, upstream("a", ready, 5), upstream("b", leaving, 1990)), true, start)
+			copied := page(2, 45, upstream("a", ready, 5), upstream("b", ready, 6))
+			if isNews {
+				news := updateOf(t.table, copied, spanOf(copied, true, 0))
+				w.handle(watchMessage{updates: []exchange.TableUpdate{news}, sentAt: start}, start)
+			} else {
+				read(2000, copied, true, start)
+			}
+			Expect(t.cursor.Position().Timeline).To(BeEquivalentTo(2))
+			Expect(usable(start.Add(time.Minute))).To(ConsistOf("a"))
+		}
+	})
+
 	// Guards against an outage that nobody had: a late response of the former timeline says
 	// nothing of the store.
 	ginkgo.It("takes a late response of the former timeline for no outage", func() {
--- a/daemon/entry/watch_apply.go
+++ b/daemon/entry/watch_apply.go
@@ -34,19 +34,21 @@
 		if span.IsList {
 			t.needsList = false
 		}
-		w.apply(t, p, span.IsList, now)
+		isRestored := former.Version > 0 && span.End.Timeline > former.Timeline
+		w.apply(t, p, span.IsList, isRestored, now)
 	}
 	return verdict
 }
 
-// apply takes over the rows of a table.
-func (w *watch) apply(t *watchedTable, p rows.Page, isList bool, now clock.Instant) {
+// apply takes over the rows of a table. isRestored is set for the first list of a timeline
+// of the store if a former one is known.
+func (w *watch) apply(t *watchedTable, p rows.Page, isList, isRestored bool, now clock.Instant) {
 	if t.table == served.ConfigTable {
 		w.applyRollouts(p, isList, now)
 		w.applyConfig(p)
 		return
 	}
-	w.applyUpstreams(p, isList, now)
+	w.applyUpstreams(p, isList, isRestored, now)
 }
 
 // recordUpdate counts an update of a table, and logs the first of each verdict in which a
@@ -125,7 +127,7 @@
 	}
 }
 
-func (w *watch) applyUpstreams(p rows.Page, isList bool, now clock.Instant) {
+func (w *watch) applyUpstreams(p rows.Page, isList, isRestored bool, now clock.Instant) {
 	if len(p.Rows) == 0 && !isList {
 		offerOrLog(w.dispatch, dispatchMessage(confirmUpstreams{}), w.log)
 		return
@@ -162,9 +164,19 @@
 		w.log.Info().Int("changed", len(list)).Int("removed", removed).Uint64("store_version", p.Version).
 			Uint64("timeline", p.Timeline).Msg("upstreams_changed")
 	}
-	if isList {
+	switch {
+	case isRestored:
+		w.restoreUpstreams(list, p, now)
+	case isList:
 		w.roster.Replace(list, now)
 		w.log.Info().Int("upstreams", len(list)).Uint64("store_version", p.Version).Uint64("timeline", p.Timeline).Msg("upstreams_read")
 	}
 	w.upstreamsChanged = true
 }
+
+// restoreUpstreams takes over the first list of a timeline of the store.
+func (w *watch) restoreUpstreams(list map[string]*catalog.Upstream, p rows.Page, now clock.Instant) {
+	restored := w.roster.Restore(list, now)
+	w.log.Info().Int("upstreams", len(list)).Int("lapsed", restored.Lapsed).Int("withheld", restored.Withheld).
+		Int("leaving", len(restored.Leaving)).Uint64("store_version", p.Version).Uint64("timeline", p.Timeline).Msg("upstreams_restored")
+}
--- a/serving/roster/doc.go
+++ b/serving/roster/doc.go
@@ -11,5 +11,8 @@
 //     the store is unavailable, and are written again afterwards. So upstreams
 //     whose entries are removed within the grace period stay usable until it
 //     ends.
+//   - What is known of an incarnation is not taken back by a store that was restored from
+//     an older copy: it stays leaving, and if its entry had ended it stays unusable until
+//     the store has a change of it, or until others have had the time to write again.
 //   - While the store is unavailable, the last known list stays in use.
 package roster
--- a/serving/roster/roster.go
+++ b/serving/roster/roster.go
@@ -17,8 +17,13 @@
 	entries map[string]*catalog.Upstream
 	// lapsed are the upstreams that lost their entries in the grace period.
 	lapsed map[string]lapsedEntry
-	// draining holds the upstreams that have said in an answer that they are leaving.
+	// withheld are the upstreams whose entries are not believed for a time.
+	withheld map[string]withheldEntry
+	// draining holds the upstreams that have said in an answer that they are leaving, and
+	// those whose entries had said so before the store was restored from an older copy.
 	draining map[Incarnation]clock.Instant
+	// departed are the upstreams whose entries have ended.
+	departed map[Incarnation]departure
 	// minOutage is the shortest outage of the store in which entries can expire.
 	minOutage time.Duration
 	// unavailableSince is from when on the store has not answered; 0 while it does.
@@ -37,7 +42,9 @@
 		entries: make(map[string]*catalog.Upstream),
 		lapsed:  make(map[string]lapsedEntry),
 
+		withheld: make(map[string]withheldEntry),
 		draining: make(map[Incarnation]clock.Instant),
+		departed: make(map[Incarnation]departure),
 	}
 }
 
@@ -69,13 +76,25 @@
 // Replace replaces all entries by list. Entries that are not in it count as
 // removed.
 func (r *Roster) Replace(list map[string]*catalog.Upstream, now clock.Instant) {
+	r.removeMissing(list, now)
+	for _, u := range list {
+		if !r.isWithheld(u) {
+			r.Set(u)
+		}
+	}
+}
+
+// removeMissing removes the entries that a list lacks.
+func (r *Roster) removeMissing(list map[string]*catalog.Upstream, now clock.Instant) {
 	for id := range r.entries {
 		if list[id] == nil {
 			r.Remove(id, now)
 		}
 	}
-	for _, u := range list {
-		r.Set(u)
+	for id := range r.withheld {
+		if list[id] == nil {
+			delete(r.withheld, id)
+		}
 	}
 }
 
@@ -83,6 +102,8 @@
 // said that it is leaving does not bring it back.
 func (r *Roster) Set(u *catalog.Upstream) {
 	delete(r.lapsed, u.ID)
+	delete(r.withheld, u.ID)
+	delete(r.departed, IncarnationOf(u))
 	r.entries[u.ID] = r.withDraining(u)
 }
 
@@ -134,17 +155,22 @@
 func (r *Roster) Remove(id string, now clock.Instant) {
 	u := r.entries[id]
 	delete(r.entries, id)
-	if u == nil || u.Draining || r.storeRecoveredAt == 0 {
+	delete(r.withheld, id)
+	if u == nil {
 		return
 	}
-	if until := r.storeRecoveredAt.Add(r.grace); now.Before(until) {
-		r.lapsed[id] = lapsedEntry{upstream: u, expiresAt: until}
+	until := r.storeRecoveredAt.Add(r.grace)
+	if u.Draining || r.storeRecoveredAt == 0 || !now.Before(until) {
+		r.depart(u, now)
+		return
 	}
+	r.lapsed[id] = lapsedEntry{upstream: u, expiresAt: until}
 }
 
 // Usable returns the upstreams that may receive requests: those with an entry
 // that are not leaving, and lapsed ones.
 func (r *Roster) Usable(now clock.Instant) []*catalog.Upstream {
+	r.release(now)
 	list := make([]*catalog.Upstream, 0, len(r.entries))
 	for _, u := range r.entries {
 		if !u.Draining {
@@ -154,6 +180,7 @@
 	for id, l := range r.lapsed {
 		if !now.Before(l.expiresAt) {
 			delete(r.lapsed, id)
+			r.depart(l.upstream, now)
 			continue
 		}
 		list = append(list, l.upstream)
@@ -181,8 +208,8 @@
 	return r.entries
 }
 
-// NextExpiry returns when the next lapsed upstream becomes unusable; false if
-// there is none.
+// NextExpiry returns when the next lapsed upstream becomes unusable or the next withheld
+// one usable; false if there is none.
 func (r *Roster) NextExpiry() (clock.Instant, bool) {
 	var next clock.Instant
 	for _, l := range r.lapsed {
@@ -190,5 +217,10 @@
 			next = l.expiresAt
 		}
 	}
+	for _, w := range r.withheld {
+		if next == 0 || w.usableAt.Before(next) {
+			next = w.usableAt
+		}
+	}
 	return next, next != 0
 }
