--- a/daemon/entry/coordinator.go
+++ b/daemon/entry/coordinator.go
@@ -255,8 +255,8 @@
 		c.handleRolloutRead(m)
 	case rolloutWritten:
 		c.handleRolloutWritten(m, now)
-	case upstreamDraining:
-		c.handleDraining(m.incarnation, now)
+	case upstreamsDraining:
+		c.handleDraining(m.incarnations, now)
 	case upstreamsOrdered:
 		c.handleUpstreamsOrdered(m, now)
 	case setFleet:
--- a/daemon/entry/coordinator_draining.go
+++ b/daemon/entry/coordinator_draining.go
@@ -8,16 +8,17 @@
 )
 
 const (
-	// drainingPublishTime is how long this gateway publishes that an upstream has said
-	// that it is leaving: long enough for all others to read it.
+	// drainingPublishTime is how long this gateway publishes that an upstream is leaving: long enough for all others to read it.
 	drainingPublishTime = 15 * time.Second
 	// maxPublishedDraining bounds those that are published at once.
 	maxPublishedDraining = 64
 )
 
-// handleDraining publishes that an upstream has said that it is leaving.
-func (c *coordinator) handleDraining(d roster.Incarnation, now clock.Instant) {
-	c.drainingAt[d] = now
+// handleDraining publishes that upstreams are leaving.
+func (c *coordinator) handleDraining(list []roster.Incarnation, now clock.Instant) {
+	for _, d := range list {
+		c.drainingAt[d] = now
+	}
 	c.updateDraining(now)
 	c.shareRecord(true, now)
 }
--- a/daemon/entry/dispatcher.go
+++ b/daemon/entry/dispatcher.go
@@ -267,7 +267,7 @@
 
 // handleDraining passes on that an upstream has said that it is leaving.
 func (d *dispatcher) handleDraining(incarnation roster.Incarnation) {
-	offerOrLog(d.cluster, clusterMessage(upstreamDraining{incarnation: incarnation}), d.log)
+	offerOrLog(d.cluster, clusterMessage(upstreamsDraining{incarnations: []roster.Incarnation{incarnation}}), d.log)
 	d.draining = append(d.draining, incarnation)
 	d.publishDraining()
 }
--- a/daemon/entry/watch_apply.go
+++ b/daemon/entry/watch_apply.go
@@ -177,6 +177,9 @@
 // restoreUpstreams takes over the first list of a timeline of the store.
 func (w *watch) restoreUpstreams(list map[string]*catalog.Upstream, p rows.Page, now clock.Instant) {
 	restored := w.roster.Restore(list, now)
+	if len(restored.Leaving) > 0 {
+		offerOrLog(w.cluster, clusterMessage(upstreamsDraining{incarnations: restored.Leaving}), w.log)
+	}
 	w.log.Info().Int("upstreams", len(list)).Int("lapsed", restored.Lapsed).Int("withheld", restored.Withheld).
 		Int("leaving", len(restored.Leaving)).Uint64("store_version", p.Version).Uint64("timeline", p.Timeline).Msg("upstreams_restored")
 }
--- a/proof/entry/restored_tables_test.go
+++ b/proof/entry/restored_tables_test.go
@@ -196,6 +196,28 @@
 		expectGone()
 	})
 
+	// Guards against a gateway that starts after the restore and believes the copy, though the
+	// others know better.
+	It("get no request from a gateway that starts then, once it has heard of the others", func() {
+		entry := operator.Upstream{
+			ID: "b", Service: "app", Address: d.replicas["b"].Address(), FailureDomain: "z", Slots: 4, State: operator.Ready,
+			StartedAtMillis: 7, Sequence: 2,
+		}
+		d.write(entry.Write)
+		copied = d.now()
+		entry.State = operator.Draining
+		d.write(entry.Write)
+		time.Sleep(knownTime)
+		d.startSlowDrill(copied, tableAway, 3*effectTime+lateTime)
+		d.awaitBack(1)
+		d.load(d.start("g5"), 15*time.Millisecond)
+		time.Sleep(effectTime)
+		at := time.Now()
+		time.Sleep(lateTime)
+		Expect(d.late("b", at)).To(BeEmpty())
+		Expect(d.late("a", at)).NotTo(BeEmpty())
+	})
+
 	It("get no request if they were removed", func() {
 		d.remove("b")
 		expectGone()
--- a/serving/cluster/record.go
+++ b/serving/cluster/record.go
@@ -40,7 +40,7 @@
 	// times of the store's clock.
 	Evidence []quarantine.Evidence `cbor:"15,keyasint,omitempty"`
 	// Draining are the upstreams that have lately told the gateway that they are
-	// leaving.
+	// leaving, or whose entries had said so before the store was restored.
 	Draining []roster.Incarnation `cbor:"16,keyasint,omitempty"`
 	// Used is what each customer used of its limit at this gateway in the window over
 	// which limits are counted, and Reserves what it may use beyond that.
--- a/standin/operator/upstream.go
+++ b/standin/operator/upstream.go
@@ -25,6 +25,8 @@
 	State UpstreamState `json:"state"`
 	// Version is the version of its software; empty is left out.
 	Version string `json:"version,omitempty"`
+	// StartedAtMillis is its start in Unix milliseconds; 0 is left out.
+	StartedAtMillis int64 `json:"born,omitempty"`
 	// Sequence increases with each write under the same ID.
 	Sequence int `json:"sequence"`
 }
