--- a/daemon/entry/coordinator.go
+++ b/daemon/entry/coordinator.go
@@ -197,7 +197,7 @@
 	if c.hasRead && !c.isStale && c.view.IsStale(now) {
 		c.publish(now)
 	}
-	c.timelineAge.observe(c.store.Timeline(), now)
+	c.observeTimeline(c.store.Timeline(), now)
 	c.checkLease(now)
 	if c.holdsLease && !c.reporting && !now.Before(c.reportAt) {
 		c.reportNextWindow(now)
--- a/daemon/entry/coordinator_timeline.go
+++ b/daemon/entry/coordinator_timeline.go
@@ -17,6 +17,14 @@
 	return row.Key{Sort: "timeline/" + strconv.FormatUint(timeline, 10)}
 }
 
+// observeTimeline notes the timeline of the store. In a new one this gateway writes its record
+// again: the store has lost what the gateway's next start needs to know of its use of limits.
+func (c *coordinator) observeTimeline(timeline uint64, now clock.Instant) {
+	if c.timelineAge.observe(timeline, now) {
+		c.hurryHeartbeat(c.restartHeartbeatInterval(), now)
+	}
+}
+
 // fixTimelineStart stores when the timeline of the store began, as far as this gateway
 // knows, unless an earlier holder has done so. A holder that knows nothing of it takes the
 // present for its beginning.
--- a/daemon/entry/duties_restore_test.go
+++ b/daemon/entry/duties_restore_test.go
@@ -67,6 +67,16 @@
 		Expect(c.reporting).To(BeTrue())
 	})
 
+	// Guards against limits that are used twice, by a gateway whose next start reads a record
+	// from before the store was restored.
+	ginkgo.It("writes its record again soon after the store was restored", func() {
+		c.lastHeartbeat, c.heartbeatAt = b.now, b.now.Add(peerHeartbeatInterval)
+		c.observeTimeline(1, b.now)
+		Expect(c.heartbeatAt).To(Equal(b.now.Add(peerHeartbeatInterval)))
+		c.observeTimeline(2, b.now)
+		Expect(c.heartbeatAt).To(BeNumerically("<=", b.now.Add(minRestartHeartbeat)))
+	})
+
 	// Guards against a number that rises, and windows that are given up, with each lack of
 	// supply: the API refuses an order for that as for a number.
 	ginkgo.It("keeps its number if an order for more is refused, as for a lack of supply", func() {
--- a/daemon/entry/timeline_age.go
+++ b/daemon/entry/timeline_age.go
@@ -14,12 +14,15 @@
 	isFirst bool
 }
 
-// observe notes the timeline at an instant. The first one counts from then as well.
-func (a *timelineAge) observe(timeline uint64, now clock.Instant) {
-	if timeline > a.timeline {
-		a.isFirst = a.timeline == 0
-		a.timeline, a.since = timeline, now
+// observe notes the timeline at an instant. The first one counts from then as well. It
+// reports whether the store was restored since the last one.
+func (a *timelineAge) observe(timeline uint64, now clock.Instant) bool {
+	if timeline <= a.timeline {
+		return false
 	}
+	a.isFirst = a.timeline == 0
+	a.timeline, a.since = timeline, now
+	return !a.isFirst
 }
 
 // isBelow reports whether the timeline has been known for less than a time.
