--- a/daemon/entry/coordinator_draining.go
+++ b/daemon/entry/coordinator_draining.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// drainingPublishTime is how long this gateway publishes that an upstream is leaving: long enough for all others to read it.
+	// drainingPublishTime is how long this gateway publishes that an upstream is leaving:
+	// long enough for all others to read it.
 	drainingPublishTime = 15 * time.Second
 	// maxPublishedDraining bounds those that are published at once.
 	maxPublishedDraining = 64
--- a/daemon/entry/duty_metrics.go
+++ b/daemon/entry/duty_metrics.go
@@ -58,11 +58,8 @@
 	m.duties.refused.WithLabelValues(duty).Inc()
 }
 
-// recordTableUpdate counts an update; m may be nil.
 func (m *metrics) recordTableUpdate(table string, verdict exchange.Verdict) {
-	if m != nil {
-		m.duties.updates.WithLabelValues(table, string(verdict)).Inc()
-	}
+	m.duties.updates.WithLabelValues(table, string(verdict)).Inc()
 }
 
 func (m *metrics) recordTimeline(t rows.TimelineChange) {
--- a/daemon/entry/peers.go
+++ b/daemon/entry/peers.go
@@ -179,10 +179,11 @@
 		if t == nil || !u.IsCurrent() {
 			continue
 		}
-		switch t.Apply(u, sentAt.Add(-u.Age)) {
-		case exchange.Applied:
+		verdict := t.Apply(u, sentAt.Add(-u.Age))
+		if verdict.IsApplied() {
 			current = append(current, u)
-		case exchange.Gap:
+		}
+		if verdict == exchange.Gap {
 			p.forgetTable(u.Table)
 		}
 	}
--- a/daemon/entry/restored_table_test.go
+++ b/daemon/entry/restored_table_test.go
@@ -62,6 +62,18 @@
 		Expect(t.needsList).To(BeFalse())
 	})
 
+	// Guards against requests to an upstream that was removed as soon as the store was back, for
+	// longer than sound ones need to write again: the restore was noticed late.
+	ginkgo.It("keeps what the copy lacks from the time at which the store was back, not from the list", func() {
+		read(0, page(1, 40, upstream("a", ready, 5), upstream("b", ready, 6)), true, start)
+		t.calling, t.calledAt, t.calledSince = true, start, 40
+		now := start.Add(time.Second)
+		w.handle(watchMessage{table: t.table, page: page(2, 40)}, now)
+		read(40, page(2, 45, upstream("a", ready, 5)), true, now)
+		Expect(usable(start.Add(recoveryGrace - 1))).To(ConsistOf("a", "b"))
+		Expect(usable(start.Add(recoveryGrace))).To(ConsistOf("a"))
+	})
+
 	// Guards against changes that are lost since a long poll from before the restore is
 	// answered after the first list of the new timeline.
 	ginkgo.It("reads the table again after changes since a version that it does not have", func() {
--- a/daemon/entry/rollout_bed_test.go
+++ b/daemon/entry/rollout_bed_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
@@ -104,6 +105,7 @@
 		hasRead: true, storeClock: time.Hour, storeClockReadAt: clock.Instant(time.Hour),
 	}
 	w := newWatch()
+	w.metrics = newMetrics(prometheus.NewRegistry())
 	w.store, w.inbox, w.dispatch, w.cluster, w.peers = client, ring.New[watchMessage]("watch", 16), c.dispatch, c.inbox, c.peers
 	w.log, w.clock, w.propagationLimit = zerolog.Nop(), c.clock, 2*time.Second
 	c.fleet.catalog = catalog.New(1, nil, []*catalog.Service{{Name: rolledService}}, nil, catalog.Limits{})
--- a/daemon/entry/watch_apply.go
+++ b/daemon/entry/watch_apply.go
@@ -13,8 +13,8 @@
 )
 
 // accept applies what the store or a hub has returned for a table, if the table's cursor
-// accepts it.
-func (w *watch) accept(t *watchedTable, p rows.Page, span exchange.Span, now clock.Instant) exchange.Verdict {
+// accepts it. The store is known to have answered since an instant.
+func (w *watch) accept(t *watchedTable, p rows.Page, span exchange.Span, since, now clock.Instant) exchange.Verdict {
 	if t.isUnavailable {
 		t.isUnavailable = false
 		w.log.Info().Str("dependency", "store").Str("by", t.table).Msg("dependency_back")
@@ -25,41 +25,46 @@
 	former := t.cursor.Position()
 	verdict := t.cursor.Accept(span)
 	w.recordUpdate(t, former, span, verdict)
-	switch verdict {
-	case exchange.Gap:
+	if verdict == exchange.Gap {
 		t.needsList = true
-	case exchange.Applied:
-		t.updatedAt = now
-		t.throttled = 0
-		if span.IsList {
-			t.needsList = false
-		}
-		isRestored := former.Version > 0 && span.End.Timeline > former.Timeline
-		w.apply(t, p, span.IsList, isRestored, now)
 	}
-	return verdict
-}
-
-// apply takes over the rows of a table. isRestored is set for the first list of a timeline
-// of the store if a former one is known.
-func (w *watch) apply(t *watchedTable, p rows.Page, isList, isRestored bool, now clock.Instant) {
-	if t.table == served.ConfigTable {
-		w.applyRollouts(p, isList, now)
+	if !verdict.IsApplied() {
+		return verdict
+	}
+	t.updatedAt = now
+	t.throttled = 0
+	if span.IsList {
+		t.needsList, t.gapAt = false, 0
+	}
+	switch {
+	case t.table == served.ConfigTable:
+		w.applyRollouts(p, span.IsList, now)
 		w.applyConfig(p)
-		return
+	case verdict == exchange.Restored:
+		w.restoreUpstreams(p, since, now)
+	case span.IsList:
+		w.replaceUpstreams(p, now)
+	default:
+		w.changeUpstreams(p, now)
 	}
-	w.applyUpstreams(p, isList, isRestored, now)
+	return verdict
 }
 
-// recordUpdate counts an update of a table, and logs the first of each verdict in which a
-// timeline of the store begins for the table.
+// recordUpdate counts an update of a table, and logs the first of each outcome for one of
+// another timeline of the store.
 func (w *watch) recordUpdate(t *watchedTable, former exchange.Position, span exchange.Span, verdict exchange.Verdict) {
 	w.metrics.recordTableUpdate(t.table, verdict)
+	if span.End.Timeline == former.Timeline {
+		return
+	}
+	if verdict.IsApplied() || t.logged == nil {
+		t.logged = make(map[exchange.Outcome]bool)
+	}
 	outcome := exchange.Outcome{Timeline: span.End.Timeline, IsList: span.IsList, Verdict: verdict}
-	if span.End.Timeline == former.Timeline || outcome == t.logged {
+	if t.logged[outcome] {
 		return
 	}
-	t.logged = outcome
+	t.logged[outcome] = true
 	w.log.Info().Str("table", t.table).Bool("list", span.IsList).Str("verdict", string(verdict)).
 		Uint64("timeline", span.End.Timeline).Uint64("version", span.End.Version).
 		Uint64("known_timeline", former.Timeline).Uint64("known_version", former.Version).Msg("table_timeline")
@@ -78,8 +83,8 @@
 		if t == nil {
 			continue
 		}
-		if w.accept(t, pageOf(u), u.Span(), now) == exchange.Applied {
-			confirmedAt := sentAt.Add(-u.Age)
+		confirmedAt := sentAt.Add(-u.Age)
+		if w.accept(t, pageOf(u), u.Span(), confirmedAt, now).IsApplied() {
 			t.newsUntil = max(t.newsUntil, confirmedAt.Add(w.newsTimeout()))
 		}
 	}
@@ -117,6 +122,7 @@
 			continue
 		}
 		if w.config != nil && next.Version <= w.config.Version {
+			w.noteFormerConfig(next, p)
 			continue
 		}
 		w.config = next
@@ -127,8 +133,17 @@
 	}
 }
 
-func (w *watch) applyUpstreams(p rows.Page, isList, isRestored bool, now clock.Instant) {
-	if len(p.Rows) == 0 && !isList {
+// noteFormerConfig logs that the store has a configuration that is older than the one in
+// force, which stays in force.
+func (w *watch) noteFormerConfig(stored *catalog.Catalog, p rows.Page) {
+	if stored.Version < w.config.Version {
+		w.log.Warn().Uint64("config", w.config.Version).Uint64("stored", stored.Version).Uint64("timeline", p.Timeline).Msg("config_kept")
+	}
+}
+
+// changeUpstreams takes over changes of the upstreams.
+func (w *watch) changeUpstreams(p rows.Page, now clock.Instant) {
+	if len(p.Rows) == 0 {
 		offerOrLog(w.dispatch, dispatchMessage(confirmUpstreams{}), w.log)
 		return
 	}
@@ -137,8 +152,7 @@
 	if len(p.Rows) > maxLoggedChanges {
 		level = zerolog.DebugLevel
 	}
-	list := make(map[string]*catalog.Upstream)
-	removed := 0
+	changed, removed := 0, 0
 	for _, r := range p.Rows {
 		id := r.Key.Sort
 		if r.Removed {
@@ -153,33 +167,49 @@
 			w.roster.Remove(id, now)
 			continue
 		}
-		list[id] = u
-		if !isList {
-			w.roster.Set(u)
-			w.log.WithLevel(level).Str("upstream", id).Str("address", u.Address).Bool("leaving", u.Draining).
-				Uint64("store_version", r.Version).Uint64("timeline", p.Timeline).Msg("upstream_changed")
-		}
+		changed++
+		w.roster.Set(u)
+		w.log.WithLevel(level).Str("upstream", id).Str("address", u.Address).Bool("leaving", u.Draining).
+			Uint64("store_version", r.Version).Uint64("timeline", p.Timeline).Msg("upstream_changed")
 	}
-	if !isList && level == zerolog.DebugLevel {
-		w.log.Info().Int("changed", len(list)).Int("removed", removed).Uint64("store_version", p.Version).
+	if level == zerolog.DebugLevel {
+		w.log.Info().Int("changed", changed).Int("removed", removed).Uint64("store_version", p.Version).
 			Uint64("timeline", p.Timeline).Msg("upstreams_changed")
 	}
-	switch {
-	case isRestored:
-		w.restoreUpstreams(list, p, now)
-	case isList:
-		w.roster.Replace(list, now)
-		w.log.Info().Int("upstreams", len(list)).Uint64("store_version", p.Version).Uint64("timeline", p.Timeline).Msg("upstreams_read")
-	}
 	w.upstreamsChanged = true
 }
 
-// restoreUpstreams takes over the first list of a timeline of the store.
-func (w *watch) restoreUpstreams(list map[string]*catalog.Upstream, p rows.Page, now clock.Instant) {
-	restored := w.roster.Restore(list, now)
+// replaceUpstreams takes over a list of all upstreams.
+func (w *watch) replaceUpstreams(p rows.Page, now clock.Instant) {
+	list := w.listOf(p)
+	w.roster.Replace(list, now)
+	w.log.Info().Int("upstreams", len(list)).Uint64("store_version", p.Version).Uint64("timeline", p.Timeline).Msg("upstreams_read")
+	w.upstreamsChanged = true
+}
+
+// restoreUpstreams takes over the first list of a timeline of the store, which was back at
+// an instant. The others may not know either which upstreams it wrongly calls ready.
+func (w *watch) restoreUpstreams(p rows.Page, since, now clock.Instant) {
+	list := w.listOf(p)
+	restored := w.roster.Restore(list, since, now)
 	if len(restored.Leaving) > 0 {
 		offerOrLog(w.cluster, clusterMessage(upstreamsDraining{incarnations: restored.Leaving}), w.log)
 	}
 	w.log.Info().Int("upstreams", len(list)).Int("lapsed", restored.Lapsed).Int("withheld", restored.Withheld).
 		Int("leaving", len(restored.Leaving)).Uint64("store_version", p.Version).Uint64("timeline", p.Timeline).Msg("upstreams_restored")
+	w.upstreamsChanged = true
+}
+
+// listOf returns the upstreams of a list, without rows that name none to use.
+func (w *watch) listOf(p rows.Page) map[string]*catalog.Upstream {
+	list := make(map[string]*catalog.Upstream)
+	for _, r := range p.Rows {
+		u, err := served.DecodeUpstream(r.Key.Sort, r.Value)
+		if err != nil {
+			w.log.Warn().Str("cause", err.Error()).Msg("row_ignored")
+			continue
+		}
+		list[u.ID] = u
+	}
+	return list
 }
--- a/daemon/entry/watch_calls.go
+++ b/daemon/entry/watch_calls.go
@@ -75,13 +75,16 @@
 		w.handleFailure(t, m.err, now)
 		return
 	}
-	span := spanOf(m.page, m.isList, t.calledSince)
-	switch w.accept(t, m.page, span, now) {
+	span, since := spanOf(m.page, m.isList, t.calledSince), t.calledAt
+	if t.gapAt != 0 {
+		since = t.gapAt
+	}
+	switch w.accept(t, m.page, span, since, now) {
 	case exchange.Stale:
 		t.nextCallAt = now.Add(watchRetryDelay)
 	case exchange.Gap:
-		t.nextCallAt = now
-	case exchange.Applied:
+		t.nextCallAt, t.gapAt = now, since
+	default:
 		if len(m.page.Rows) > 0 && t.table == served.UpstreamTable {
 			t.nextCallAt = now.Add(w.batchDelay())
 		}
@@ -96,6 +99,9 @@
 		w.log.Info().Str("table", t.table).Msg("history_forgotten")
 		t.needsList = true
 		t.nextCallAt = now
+		if t.gapAt == 0 {
+			t.gapAt = t.calledAt
+		}
 		return
 	}
 	var late *row.TimelineError
--- a/daemon/entry/watch_restore_test.go
+++ b/daemon/entry/watch_restore_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
@@ -28,7 +29,7 @@
 	var t *watchedTable
 	ginkgo.BeforeEach(func() {
 		w = newWatch()
-		w.propagationLimit, w.log = 2*time.Second, zerolog.Nop()
+		w.propagationLimit, w.log, w.metrics = 2*time.Second, zerolog.Nop(), newMetrics(prometheus.NewRegistry())
 		w.dispatch, w.cluster = ring.New[dispatchMessage]("dispatch", 64), ring.New[clusterMessage]("cluster", 64)
 		w.peers = ring.New[peerMessage]("peers", 64)
 		t = w.tables[served.ConfigTable]
--- a/daemon/entry/watch_test.go
+++ b/daemon/entry/watch_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
@@ -23,6 +24,7 @@
 
 	ginkgo.It("calls the store in time after the hub last knew, not after its last news", func() {
 		w := newWatch()
+		w.metrics = newMetrics(prometheus.NewRegistry())
 		w.propagationLimit = limit
 		w.dispatch = ring.New[dispatchMessage]("dispatch", 64)
 		t := w.tables[served.UpstreamTable]
@@ -38,6 +40,7 @@
 
 	ginkgo.It("as a hub tells no later time than the store can have answered", func() {
 		w := newWatch()
+		w.metrics = newMetrics(prometheus.NewRegistry())
 		w.propagationLimit, w.isHub = limit, true
 		w.dispatch = ring.New[dispatchMessage]("dispatch", 64)
 		w.peers = ring.New[peerMessage]("peers", 64)
@@ -53,6 +56,7 @@
 
 	ginkgo.It("as a hub dates a response that waited in its link by the store's clock", func() {
 		w := newWatch()
+		w.metrics = newMetrics(prometheus.NewRegistry())
 		w.propagationLimit, w.isHub = limit, true
 		w.dispatch = ring.New[dispatchMessage]("dispatch", 64)
 		w.peers = ring.New[peerMessage]("peers", 64)
--- a/daemon/entry/watched_table.go
+++ b/daemon/entry/watched_table.go
@@ -34,6 +34,10 @@
 	isUnavailable bool
 	// updatedAt is the time of the last successful call.
 	updatedAt clock.Instant
-	// logged is the last outcome of an update of another timeline that was logged.
-	logged exchange.Outcome
+	// gapAt is when the first call was made that has shown that the whole table must be read
+	// again; 0 if none has since the last list.
+	gapAt clock.Instant
+	// logged are the outcomes of updates of other timelines that were logged since the
+	// present one began.
+	logged map[exchange.Outcome]bool
 }
--- a/serving/exchange/cursor.go
+++ b/serving/exchange/cursor.go
@@ -16,7 +16,7 @@
 // that the follower knows, and changes tell nothing of that.
 func (c *Cursor) Accept(s Span) Verdict {
 	verdict := c.judge(s)
-	if verdict == Applied {
+	if verdict.IsApplied() {
 		c.position = s.End
 	}
 	return verdict
@@ -28,8 +28,10 @@
 	switch {
 	case end.Timeline < known.Timeline:
 		return Stale
-	case s.IsList && isLater:
+	case s.IsList && known.Version == 0:
 		return Applied
+	case s.IsList && isLater:
+		return Restored
 	case !s.IsList && (isLater || known.Version == 0):
 		return Gap
 	case end.Version < known.Version:
--- a/serving/exchange/cursor_test.go
+++ b/serving/exchange/cursor_test.go
@@ -29,7 +29,7 @@
 			var c exchange.Cursor
 			Expect(c.Accept(list(3, 40))).To(Equal(exchange.Applied))
 			Expect(c.Accept(s)).To(Equal(verdict))
-			if verdict == exchange.Applied {
+			if verdict.IsApplied() {
 				Expect(c.Position()).To(Equal(s.End))
 			} else {
 				Expect(c.Position()).To(Equal(end(3, 40)))
@@ -43,8 +43,8 @@
 		Entry("changes since before", changes(3, 45, 12), exchange.Applied),
 		Entry("changes up to before", changes(3, 39, 12), exchange.Stale),
 		Entry("changes with others missing before", changes(3, 45, 42), exchange.Gap),
-		Entry("a list of the next timeline with a lower version", list(4, 3), exchange.Applied),
-		Entry("a list of a timeline after the next", list(9, 90), exchange.Applied),
+		Entry("a list of the next timeline with a lower version", list(4, 3), exchange.Restored),
+		Entry("a list of a timeline after the next", list(9, 90), exchange.Restored),
 		Entry("changes of the next timeline that seem to go on", changes(4, 41, 40), exchange.Gap),
 		Entry("changes of the next timeline with a lower version", changes(4, 10, 9), exchange.Gap),
 		Entry("no changes of the next timeline at the same version", changes(4, 40, 40), exchange.Gap),
@@ -66,7 +66,7 @@
 		c.Accept(list(0, 40))
 		Expect(c.Accept(changes(0, 41, 40))).To(Equal(exchange.Applied))
 		Expect(c.Accept(changes(1, 42, 41))).To(Equal(exchange.Gap))
-		Expect(c.Accept(list(1, 42))).To(Equal(exchange.Applied))
+		Expect(c.Accept(list(1, 42))).To(Equal(exchange.Restored))
 		Expect(c.Accept(changes(1, 43, 42))).To(Equal(exchange.Applied))
 	})
 })
@@ -84,7 +84,7 @@
 		hub.Apply(list(2, 45, entry("new", 44)), at(0))
 		news := hub.Since(follower.Position(), at(0))
 		Expect(news.Full).To(BeTrue())
-		Expect(follower.Apply(news, at(0))).To(Equal(exchange.Applied))
+		Expect(follower.Apply(news, at(0))).To(Equal(exchange.Restored))
 		Expect(follower.Since(exchange.Position{}, at(0)).Entries).To(ConsistOf(entry("new", 44)))
 	})
 
--- a/serving/exchange/table_copy.go
+++ b/serving/exchange/table_copy.go
@@ -33,7 +33,7 @@
 // cursor accepts it.
 func (t *TableCopy) Apply(u TableUpdate, confirmedAt clock.Instant) Verdict {
 	verdict := t.cursor.Accept(u.Span())
-	if verdict != Applied {
+	if !verdict.IsApplied() {
 		return verdict
 	}
 	if u.Full {
@@ -45,7 +45,7 @@
 	t.confirmedAt = max(t.confirmedAt, confirmedAt)
 	t.available = true
 	t.dropTombstones()
-	return Applied
+	return verdict
 }
 
 // replace removes the rows that a full update lacks. When they were removed is not
@@ -90,14 +90,16 @@
 func (t *TableCopy) Since(known Position, now clock.Instant) TableUpdate {
 	end := t.Position()
 	u := TableUpdate{
-		Table: t.table, Version: end.Version, Timeline: end.Timeline, Since: min(known.Version, end.Version),
-		Age: now.Sub(t.confirmedAt), Available: t.available,
+		Table: t.table, Version: end.Version, Timeline: end.Timeline, Age: now.Sub(t.confirmedAt), Available: t.available,
 	}
 	isLater := end.Timeline > known.Timeline
+	u.Full = isLater || (end.Timeline == known.Timeline && known.Version < t.completeFrom)
+	if !u.Full {
+		u.Since = min(known.Version, end.Version)
+	}
 	if known.Timeline > end.Timeline || (!isLater && known.Version >= end.Version) {
 		return u
 	}
-	u.Full = isLater || known.Version < t.completeFrom
 	for _, e := range t.entries {
 		isNew := e.Version > known.Version
 		if (u.Full && !e.Removed) || (!u.Full && isNew) {
--- a/serving/roster/restore.go
+++ b/serving/roster/restore.go
@@ -19,10 +19,11 @@
 // Restore replaces all entries by the first list of a store that was restored from an older
 // copy. What was known of an incarnation is not taken back: one that was leaving stays so,
 // and one whose entry had ended is withheld until the store has a change of it. Entries
-// that the list lacks lapse, as after an outage.
-func (r *Roster) Restore(list map[string]*catalog.Upstream, now clock.Instant) Restored {
-	r.storeRecoveredAt, r.unavailableSince = now, 0
+// that the list lacks lapse, as after an outage: the store was back at since.
+func (r *Roster) Restore(list map[string]*catalog.Upstream, since, now clock.Instant) Restored {
+	r.storeRecoveredAt, r.unavailableSince = since, 0
 	r.dropDepartures(now)
+	r.dropDraining(now)
 	r.keepLeaving(now)
 	var result Restored
 	lapsed := len(r.lapsed)
--- a/serving/roster/restore_test.go
+++ b/serving/roster/restore_test.go
@@ -37,6 +37,7 @@
 		}
 		return names
 	}
+	restore := func(m map[string]*catalog.Upstream, now clock.Instant) roster.Restored { return r.Restore(m, now, now) }
 	BeforeEach(func() {
 		r = roster.New(grace)
 		r.Replace(list(ready("a", born), ready("b", born)), at(0))
@@ -44,7 +45,7 @@
 
 	It("keeps an upstream leaving that the copy calls ready, until it starts anew", func() {
 		r.Set(leaving("b", born))
-		restored := r.Restore(list(ready("a", born), ready("b", born)), at(time.Second))
+		restored := restore(list(ready("a", born), ready("b", born)), at(time.Second))
 		Expect(restored.Leaving).To(ConsistOf(roster.Incarnation{ID: "b", StartedAtMillis: born}))
 		Expect(usable(at(time.Minute))).To(ConsistOf("a"))
 		r.Replace(list(ready("a", born), ready("b", born)), at(time.Minute))
@@ -56,13 +57,13 @@
 	It("keeps one leaving that was removed since", func() {
 		r.Set(leaving("b", born))
 		r.Remove("b", at(time.Second))
-		Expect(r.Restore(list(ready("a", born), ready("b", born)), at(2*time.Second)).Leaving).To(HaveLen(1))
+		Expect(restore(list(ready("a", born), ready("b", born)), at(2*time.Second)).Leaving).To(HaveLen(1))
 		Expect(usable(at(time.Minute))).To(ConsistOf("a"))
 	})
 
 	It("withholds one that was removed until the restored store has a change of it", func() {
 		r.Remove("b", at(time.Second))
-		restored := r.Restore(list(ready("a", born), ready("b", born)), at(2*time.Second))
+		restored := restore(list(ready("a", born), ready("b", born)), at(2*time.Second))
 		Expect(restored.Withheld).To(Equal(1))
 		Expect(usable(at(3 * time.Second))).To(ConsistOf("a"))
 		// The whole table is listed again, with the same row.
@@ -74,7 +75,7 @@
 
 	It("believes the copy once others have had the time to write again", func() {
 		r.Remove("b", at(time.Second))
-		r.Restore(list(ready("a", born), ready("b", born)), at(2*time.Second))
+		restore(list(ready("a", born), ready("b", born)), at(2*time.Second))
 		next, ok := r.NextExpiry()
 		Expect(ok).To(BeTrue())
 		Expect(next).To(Equal(at(2*time.Second + rewritten)))
@@ -85,7 +86,7 @@
 	It("withholds one that was leaving and whose start is not known", func() {
 		r.Set(ready("c", 0))
 		r.Set(leaving("c", 0))
-		Expect(r.Restore(list(ready("a", born), ready("c", 0)), at(time.Second)).Withheld).To(Equal(1))
+		Expect(restore(list(ready("a", born), ready("c", 0)), at(time.Second)).Withheld).To(Equal(1))
 		Expect(usable(at(4 * time.Second))).To(ConsistOf("a"))
 		r.Set(ready("c", 0))
 		Expect(usable(at(4 * time.Second))).To(ConsistOf("a", "c"))
@@ -95,35 +96,41 @@
 		r.Remove("a", at(time.Second))
 		r.Remove("b", at(time.Second))
 		r.Set(ready("b", born))
-		r.Restore(list(ready("a", born+1), ready("b", born), ready("c", born)), at(2*time.Second))
+		restore(list(ready("a", born+1), ready("b", born), ready("c", born)), at(2*time.Second))
 		Expect(usable(at(2 * time.Second))).To(ConsistOf("a", "b", "c"))
 	})
 
 	It("keeps one that the copy lacks for the grace period, however short the store was away", func() {
 		r.SetMinOutage(5 * time.Second)
-		Expect(r.Restore(list(ready("a", born)), at(time.Second)).Lapsed).To(Equal(1))
+		Expect(restore(list(ready("a", born)), at(time.Second)).Lapsed).To(Equal(1))
 		Expect(usable(at(2 * time.Second))).To(ConsistOf("a", "b"))
 		Expect(usable(at(3 * time.Second))).To(ConsistOf("a"))
 		// It counts as gone by then, and a second restore does not bring it back.
-		Expect(r.Restore(list(ready("a", born), ready("b", born)), at(4*time.Second)).Withheld).To(Equal(1))
+		Expect(restore(list(ready("a", born), ready("b", born)), at(4*time.Second)).Withheld).To(Equal(1))
 		Expect(usable(at(5 * time.Second))).To(ConsistOf("a"))
 	})
 
+	It("counts the grace period from when the store was back, not from the list", func() {
+		r.Restore(list(ready("a", born)), at(0), at(time.Second))
+		Expect(usable(at(2*time.Second - 1))).To(ConsistOf("a", "b"))
+		Expect(usable(at(2 * time.Second))).To(ConsistOf("a"))
+	})
+
 	It("drops one that is leaving and that the copy lacks", func() {
 		r.Set(leaving("b", born))
-		r.Restore(list(ready("a", born)), at(time.Second))
+		restore(list(ready("a", born)), at(time.Second))
 		Expect(usable(at(time.Second))).To(ConsistOf("a"))
 	})
 
 	It("takes a removal of a withheld one over", func() {
 		r.Remove("b", at(time.Second))
-		r.Restore(list(ready("a", born), ready("b", born)), at(2*time.Second))
+		restore(list(ready("a", born), ready("b", born)), at(2*time.Second))
 		r.Remove("b", at(3*time.Second))
 		Expect(usable(at(time.Minute))).To(ConsistOf("a"))
 	})
 
 	It("remembers removals no longer than copies are old", func() {
 		r.Remove("b", at(0))
-		Expect(r.Restore(list(ready("a", born), ready("b", born)), at(5*time.Minute)).Withheld).To(BeZero())
+		Expect(restore(list(ready("a", born), ready("b", born)), at(5*time.Minute)).Withheld).To(BeZero())
 	})
 })
