--- a/proof/soak/judge/rule.go
+++ b/proof/soak/judge/rule.go
@@ -30,6 +30,10 @@
 	NothingCut Rule = "planned stops cut nothing"
 	// InForce: a configuration is in force everywhere in time.
 	InForce Rule = "configurations are in force in time"
+	// NoneToLeft: no request goes to an upstream that has left.
+	NoneToLeft Rule = "no request to an upstream that has left"
+	// NewInUse: a new upstream gets requests in time.
+	NewInUse Rule = "new upstreams are in use in time"
 	// Recovers: after the last fault requests are served again.
 	Recovers Rule = "it recovers"
 )
--- a/proof/soak/world/config.go
+++ b/proof/soak/world/config.go
@@ -21,6 +21,8 @@
 	// Grace is the time from SIGTERM until the platform kills a process; 0 takes the usual
 	// one.
 	Grace time.Duration
+	// TellsStart is whether the entries of upstreams tell when they have started.
+	TellsStart bool
 	// TellsEra is whether the store tells in all answers how often it was restored.
 	TellsEra bool
 }
--- a/proof/soak/world/upstream.go
+++ b/proof/soak/world/upstream.go
@@ -14,6 +14,8 @@
 	Service string
 	// Version is the version of its software.
 	Version string
+	// StartedAtMillis is its start in Unix milliseconds; 0 if its entries do not tell.
+	StartedAtMillis int64
 	// Replica is the stand-in.
 	Replica *replica.Replica
 	// Relay stands before it.
--- a/proof/soak/world/world.go
+++ b/proof/soak/world/world.go
@@ -140,6 +140,9 @@
 	w.started++
 	id := fmt.Sprintf("%s-%d", service, w.started)
 	u := &Upstream{ID: id, firstID: id, Service: service, Version: version}
+	if w.config.TellsStart {
+		u.StartedAtMillis = time.Now().UnixMilli()
+	}
 	config := replica.Config{ID: u.ID, Address: "127.0.0.1:0", Delay: w.config.EventPause, FailStatus: failStatus}
 	if service == "llm" {
 		config.Events = Events
@@ -161,6 +164,7 @@
 func (w *World) Register(u *Upstream, state operator.UpstreamState) error {
 	entry := operator.Upstream{
 		ID: u.ID, Service: u.Service, Address: u.Relay.Address(), FailureDomain: "z", Slots: 8, State: state, Version: u.Version, Sequence: 1,
+		StartedAtMillis: u.StartedAtMillis,
 	}
 	return w.write(entry.Write)
 }
@@ -176,6 +180,12 @@
 
 // Remove removes the entry of an upstream, which serves on.
 func (w *World) Remove(u *Upstream) error {
+	w.Forget(u)
+	return w.RemoveEntry(u.ID)
+}
+
+// Forget counts an upstream as removed. Its entry stays, and it serves on.
+func (w *World) Forget(u *Upstream) {
 	for i, other := range w.Upstreams {
 		if other == u {
 			w.Upstreams = append(w.Upstreams[:i], w.Upstreams[i+1:]...)
@@ -183,7 +193,6 @@
 			break
 		}
 	}
-	return w.RemoveEntry(u.ID)
 }
 
 // Restart starts an upstream anew under another ID at the same address, and registers it.
@@ -272,13 +281,22 @@
 func (w *World) Runs() ([]replica.Run, error) {
 	var all []replica.Run
 	for _, u := range append(append([]*Upstream{}, w.former...), w.Upstreams...) {
-		if err := Posted(u.Replica, func() { all = append(all, u.Replica.Runs()...) }); err != nil {
+		runs, err := w.RunsOf(u)
+		if err != nil {
 			return nil, err
 		}
+		all = append(all, runs...)
 	}
 	return all, nil
 }
 
+// RunsOf returns what one upstream has run.
+func (w *World) RunsOf(u *Upstream) ([]replica.Run, error) {
+	var runs []replica.Run
+	err := Posted(u.Replica, func() { runs = u.Replica.Runs() })
+	return runs, err
+}
+
 // Reports returns the usage reports that the platform took.
 func (w *World) Reports() ([]duties.UsageReport, error) {
 	var all []duties.UsageReport
