--- a/daemon/entry/coordinator_records.go
+++ b/daemon/entry/coordinator_records.go
@@ -141,7 +141,7 @@
 		known.records = append(known.records, record)
 	}
 	c.scheduleList(now)
-	mergeRecords(c.records, known, m.page.Clock)
+	known.mergeInto(c.records, m.page.Clock)
 	offerOrLog(c.peers, peerMessage(known), c.log)
 	c.updateView(now)
 	if !c.hasRead {
@@ -169,7 +169,7 @@
 	if !c.hasRead {
 		return
 	}
-	mergeRecords(c.records, m, c.storeNow(now))
+	m.mergeInto(c.records, c.storeNow(now))
 	if !m.fromHub {
 		return
 	}
--- a/daemon/entry/peers.go
+++ b/daemon/entry/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -102,7 +101,7 @@
 	case setHubs:
 		p.plan.SetHubs(m.hubs, m.gateways)
 	case recordsKnown:
-		mergeRecords(p.records, m, m.clock)
+		m.mergeInto(p.records, m.clock)
 		if m.clock != 0 {
 			p.storeClock.Read(m.clock, now)
 		}
@@ -290,16 +289,3 @@
 	}
 	return d
 }
-
-// mergeRecords adds records to a log. After all records of the store it drops those
-// of gateways that are no longer there.
-func mergeRecords(log *exchange.RecordLog, m recordsKnown, storeClock time.Duration) {
-	names := make(map[string]bool, len(m.records))
-	for _, r := range m.records {
-		names[r.Instance] = true
-		log.Put(r)
-	}
-	if m.isComplete {
-		log.Keep(names, storeClock, deadRecordTimeout)
-	}
-}
--- a/daemon/entry/records_known.go
+++ b/daemon/entry/records_known.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
+	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
 )
 
 // recordsKnown hands records of gateways from one duty to another: to the peers
@@ -22,3 +23,16 @@
 
 func (recordsKnown) isPeerMessage()    {}
 func (recordsKnown) isClusterMessage() {}
+
+// mergeInto adds the records to a log. After all records of the store it drops those of
+// gateways that are no longer there.
+func (m recordsKnown) mergeInto(log *exchange.RecordLog, storeClock time.Duration) {
+	names := make(map[string]bool, len(m.records))
+	for _, r := range m.records {
+		names[r.Instance] = true
+		log.Put(r)
+	}
+	if m.isComplete {
+		log.Keep(names, storeClock, deadRecordTimeout)
+	}
+}
--- a/proof/soak/faults/departure_plan.go
+++ b/proof/soak/faults/departure_plan.go
@@ -21,17 +21,6 @@
 	longestDepartureWait = time.Second
 )
 
-// restarts tells which gateways are started anew, while the store is away.
-type restarts int
-
-// The restarts to draw from; none are more likely.
-const (
-	restartsOne restarts = iota
-	restartsAll
-	restartsNone
-	restartKinds = restartsNone + 3
-)
-
 // departurePlan is a drill with upstreams that leave before and after it. All of it is drawn
 // at once, so that a seed stands for the same plans however long they take.
 type departurePlan struct {
