--- a/daemon/entry/coordinator.go
+++ b/daemon/entry/coordinator.go
@@ -261,6 +261,9 @@
 		c.handleUpstreamsOrdered(m, now)
 	case setFleet:
 		c.fleet = m
+		if m.catalog != nil {
+			c.record.Config = m.catalog.Version
+		}
 	case setReady:
 		c.record.Ready = !c.isLeaving
 		c.heartbeatAt = now
--- a/daemon/entry/coordinator_records.go
+++ b/daemon/entry/coordinator_records.go
@@ -240,6 +240,9 @@
 		c.isStale = isStale
 		c.log.Warn().Bool("reduced", isStale).Int("gateways", message.division.Gateways).Msg("limits_divided")
 	}
+	if !c.record.Ready {
+		offerOrLog(c.watch, watchMessage{hasConfigNews: true, newestConfig: c.view.NewestConfig()}, c.log)
+	}
 	c.publishHubs(ready)
 	c.publishEvidence(now)
 	c.publishDraining()
--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -104,6 +104,10 @@
 	upstreamsChanged bool
 	// configChanged is set while dispatch lacks the current configuration.
 	configChanged bool
+	// configFloor decides on the first configuration; nil once one is in use. isAwaiting is
+	// set while it does not allow the one that was read.
+	configFloor *exchange.ConfigFloor
+	isAwaiting  bool
 	// rollouts are the orders of roll-outs. rolloutsChanged is set while dispatch lacks
 	// them, and rolloutsUnplanned while the cluster duty does.
 	rollouts                           *rollout.Book
@@ -126,6 +130,7 @@
 }
 
 func (w *watch) run() error {
+	w.configFloor = exchange.NewConfigFloor(w.clock.Now())
 	for {
 		now := w.clock.Now()
 		for _, t := range w.tables {
@@ -149,6 +154,10 @@
 		_ = m.dump.Offer(report.Section{Name: "watch", State: w.dump(now)})
 	case m.role != nil:
 		w.isHub = m.role.isHub
+	case m.hasConfigNews:
+		if w.configFloor != nil {
+			w.configFloor.Heard(m.newestConfig)
+		}
 	case m.draining != nil:
 		w.handleDraining(m, now)
 	case m.updates != nil:
@@ -186,15 +195,15 @@
 	if next, ok := w.roster.NextExpiry(); ok && !now.Before(next) {
 		w.upstreamsChanged = true
 	}
-	if w.configChanged && w.dispatch.Offer(setCatalog{catalog: w.config}) == nil {
-		w.configChanged = false
+	if w.configChanged && w.mayUseConfig(now) && w.dispatch.Offer(setCatalog{catalog: w.config}) == nil {
+		w.configChanged, w.configFloor, w.fleetChanged = false, nil, true
 	}
 	if w.upstreamsChanged && w.dispatch.Offer(setUpstreams{list: w.roster.Usable(now)}) == nil {
 		w.upstreamsChanged = false
 		w.fleetChanged = true
 	}
 	w.publishRollouts(now)
-	if w.fleetChanged && w.cluster.Offer(setFleet{catalog: w.config, upstreams: w.roster.List()}) == nil {
+	if w.fleetChanged && w.cluster.Offer(setFleet{catalog: w.configInUse(), upstreams: w.roster.List()}) == nil {
 		w.fleetChanged = false
 	}
 	if !w.announcedReady && w.config != nil && w.tables[served.UpstreamTable].cursor.Position().Version > 0 && !w.upstreamsChanged && !w.configChanged {
@@ -205,6 +214,28 @@
 	}
 }
 
+// mayUseConfig reports whether the configuration that was read may be used. The first one of
+// a process may be older than what the others use.
+func (w *watch) mayUseConfig(now clock.Instant) bool {
+	timeline := w.tables[served.ConfigTable].cursor.Position().Timeline
+	if w.configFloor == nil || w.configFloor.Allows(w.config.Version, timeline, now) {
+		return true
+	}
+	if !w.isAwaiting {
+		w.isAwaiting = true
+		w.log.Info().Uint64("read", w.config.Version).Uint64("timeline", timeline).Msg("config_awaited")
+	}
+	return false
+}
+
+// configInUse returns the configuration that dispatch has, or is to get; nil if none is.
+func (w *watch) configInUse() *catalog.Catalog {
+	if w.configFloor != nil {
+		return nil
+	}
+	return w.config
+}
+
 func (w *watch) dump(now clock.Instant) watchDump {
 	d := watchDump{
 		Entries:   len(w.roster.Entries()),
--- a/daemon/entry/watch_message.go
+++ b/daemon/entry/watch_message.go
@@ -10,8 +10,8 @@
 )
 
 // watchMessage is a message to the watch duty: the store's response to a call for
-// a table, the changes that a hub has passed on, this gateway's role, upstreams that
-// have said that they are leaving, or a request for a state dump.
+// a table, the changes that a hub has passed on, this gateway's role, the configuration
+// that the others use, upstreams that have said that they are leaving, or a request for a state dump.
 type watchMessage struct {
 	table   string
 	isList  bool
@@ -21,6 +21,10 @@
 	// sentAt is when the hub was asked for the updates; their ages count from then.
 	sentAt clock.Instant
 	role   *watchRole
+	// newestConfig is the version of the newest configuration that the others use, 0 if none
+	// has told; hasConfigNews is set if it is meant.
+	newestConfig  uint64
+	hasConfigNews bool
 	// draining are upstreams that have said in an answer that they are leaving, to this
 	// gateway or to another one.
 	draining []roster.Incarnation
--- a/proof/entry/restored_tables_test.go
+++ b/proof/entry/restored_tables_test.go
@@ -224,6 +224,27 @@
 	})
 })
 
+// Guards against a key that was withdrawn and is served by a gateway that starts on the copy,
+// which has an older configuration than the one in force.
+var _ = Describe("A key that was withdrawn and is in the copy from which the store is restored", func() {
+	It("is not served by a gateway that starts before the operator has written again", func() {
+		d := startDrillSite(true)
+		time.Sleep(knownTime)
+		copied := d.now()
+		d.dropKey()
+		time.Sleep(knownTime)
+		d.startSlowDrill(copied, tableAway, effectTime+lateTime)
+		d.awaitBack(1)
+		g := d.startUnready("g5")
+		for end := time.Now().Add(effectTime + lateTime); time.Now().Before(end); {
+			Expect(g.ask("POST", "/safe/x", "few", "b").status).NotTo(Equal(http.StatusOK))
+			time.Sleep(100 * time.Millisecond)
+		}
+		Eventually(g.isReady, "5s", "20ms").Should(BeTrue())
+		Expect(g.ask("POST", "/safe/x", "key", "b").status).To(Equal(http.StatusOK))
+	})
+})
+
 // Guards against a key that is served after it was withdrawn (CONFIG), since the
 // configuration of the restored store counted as old.
 var _ = Describe("A key that is withdrawn in a store that was restored from an older copy", func() {
--- a/serving/cluster/record.go
+++ b/serving/cluster/record.go
@@ -53,6 +53,8 @@
 	// RolloutEvidence what it has counted in them.
 	Rollouts        []rollout.Stage    `cbor:"21,keyasint,omitempty"`
 	RolloutEvidence []rollout.Evidence `cbor:"22,keyasint,omitempty"`
+	// Config is the version of the configuration that the gateway uses; 0 if it has none.
+	Config uint64 `cbor:"23,keyasint,omitempty"`
 	// Age and CountAge are the times from the write, and from CountedAt, to the read, by
 	// the store's clock. The reader sets them; they are not stored.
 	Age      time.Duration `cbor:"-"`
--- a/serving/cluster/view.go
+++ b/serving/cluster/view.go
@@ -139,6 +139,16 @@
 	return list
 }
 
+// NewestConfig returns the version of the newest configuration that a live gateway uses; 0
+// if none has told.
+func (v *View) NewestConfig() uint64 {
+	newest := uint64(0)
+	for _, record := range v.Live() {
+		newest = max(newest, record.Config)
+	}
+	return newest
+}
+
 // Silent returns the names of the gateways whose records have not changed for the
 // given timeout.
 func (v *View) Silent(timeout time.Duration) []string {
--- a/serving/exchange/position.go
+++ b/serving/exchange/position.go
@@ -1,5 +1,8 @@
 package exchange
 
+// firstTimeline is that of a store that was never restored.
+const firstTimeline = 1
+
 // Position is a point in the history of a table of the store. The store gives versions out
 // again after it was restored from an older copy, so those of two timelines can't be
 // compared.
