--- a/daemon/entry/restored_table_test.go
+++ b/daemon/entry/restored_table_test.go
@@ -74,6 +74,19 @@
 		Expect(usable(start.Add(recoveryGrace))).To(ConsistOf("a"))
 	})
 
+	// Guards against sound upstreams that are dropped, since the call which showed that the
+	// table must be read again was made before the store was away.
+	ginkgo.It("keeps it for as long if the store was away after a call that asked for the whole table", func() {
+		read(0, page(1, 40, upstream("a", ready, 5), upstream("b", ready, 6)), true, start)
+		t.calling, t.calledAt = true, start
+		w.handle(watchMessage{table: t.table, err: &rows.HistoryError{}}, start)
+		t.calling, t.calledAt = true, start
+		w.handle(watchMessage{table: t.table, err: &row.UnavailableError{Err: &rows.StatusError{Status: 503}}}, start.Add(time.Second))
+		now := start.Add(5 * time.Second)
+		read(40, page(2, 45, upstream("a", ready, 5)), true, now)
+		Expect(usable(now.Add(recoveryGrace - 1))).To(ConsistOf("a", "b"))
+	})
+
 	// Guards against changes that are lost since a long poll from before the restore is
 	// answered after the first list of the new timeline.
 	ginkgo.It("reads the table again after changes since a version that it does not have", func() {
--- a/daemon/entry/watch_calls.go
+++ b/daemon/entry/watch_calls.go
@@ -110,6 +110,7 @@
 		t.needsList = true
 		return
 	}
+	t.gapAt = 0
 	if t.table == served.UpstreamTable {
 		w.roster.StoreUnavailable(t.calledAt)
 	}
--- a/daemon/entry/watched_table.go
+++ b/daemon/entry/watched_table.go
@@ -35,7 +35,7 @@
 	// updatedAt is the time of the last successful call.
 	updatedAt clock.Instant
 	// gapAt is when the first call was made that has shown that the whole table must be read
-	// again; 0 if none has since the last list.
+	// again; 0 if none has since the last list, or since a call that has failed.
 	gapAt clock.Instant
 	// logged are the outcomes of updates of other timelines that were logged since the
 	// present one began.
--- a/proof/soak/faults/departures.go
+++ b/proof/soak/faults/departures.go
@@ -117,13 +117,12 @@
 	d.found = append(d.found, judge.Departure{Upstream: u.ID})
 	d.log.Info().Str("upstream", u.ID).Bool("removed", isRemoved).Msg("leaves")
 	if isRemoved {
-		return time.Now(), d.world.Remove(u)
+		err := d.world.Remove(u)
+		return time.Now(), err
 	}
 	err := d.world.Register(u, operator.Draining)
 	acknowledged := time.Now()
-	if err == nil {
-		d.world.Forget(u)
-	}
+	d.world.Forget(u)
 	return acknowledged, err
 }
 
@@ -135,6 +134,7 @@
 	}
 	now := time.Now()
 	d.former[u.ID] = u
+	// Requests that were sent before may reach it as well.
 	d.found = append(d.found, judge.Departure{Upstream: u.ID, UsedFrom: now.Add(-effectTime), UsedBy: now.Add(effectTime)})
 	d.log.Info().Str("upstream", u.ID).Msg("comes")
 	return nil
