--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -14,9 +14,8 @@
 
 // cases are the scripted cases by name. trouble is false if the disruption is left out.
 var cases = map[string]func(w *world, trouble bool) (int, error){
-	"slow-reader-stop": slowReaderStop,
-	"crowd":            crowdCase,
-	"leaving":          leaving,
+	"leaving":  leaving,
+	"smuggled": smuggled,
 }
 
 func main() {
