--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -16,6 +16,8 @@
 var cases = map[string]func(w *world, trouble bool) (int, error){
 	"leaving":  leaving,
 	"smuggled": smuggled,
+	"restored": restored,
+	"left":     left,
 }
 
 func main() {
--- a/review/rig-3/store.go
+++ b/review/rig-3/store.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -40,6 +43,16 @@
 	changes []row
 	changed chan struct{}
 	started time.Time
+	// undos take transactions back, the oldest first; era counts the restores.
+	undos []undo
+	era   int
+	away  bool
+}
+
+// undo holds what a transaction has replaced; rows without a version did not exist.
+type undo struct {
+	at     time.Time
+	before []row
 }
 
 func startStore(ip string) (*store, error) {
@@ -50,7 +63,8 @@
 	s := &store{
 		address: ln.Addr().String(), rows: make(map[rowKey]row), changed: make(chan struct{}), started: time.Now(),
 	}
-	go func() { _ = http.Serve(ln, s) }()
+	server := &http.Server{Handler: s, ErrorLog: log.New(io.Discard, "", 0)}
+	go func() { _ = server.Serve(ln) }()
 	return s, nil
 }
 
@@ -66,6 +80,13 @@
 }
 
 func (s *store) apply(tx transaction) {
+	u := undo{at: time.Now()}
+	for _, r := range append(append([]row{}, tx.Puts...), tx.Delete...) {
+		b := s.rows[r.id()]
+		b.Table, b.Part, b.Key = r.Table, r.Part, r.Key
+		u.before = append(u.before, b)
+	}
+	s.undos = append(s.undos, u)
 	s.version++
 	for _, r := range tx.Puts {
 		r.Version = s.version
@@ -85,7 +106,7 @@
 		rows = []row{}
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Store-Era", "0")
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"rows": rows, "has_more": hasMore, "ver": version, "now_ms": float64(time.Since(s.started).Microseconds()) / 1000,
@@ -95,6 +116,9 @@
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(4 * time.Millisecond)
+	if s.isAway() {
+		panic(http.ErrAbortHandler)
+	}
 	switch r.Method + " " + r.URL.Path {
 	case "POST /-/rows-tx":
 		s.transact(w, r)
@@ -161,6 +185,15 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		if s.away {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if since > s.version {
+			s.reply(w, http.StatusGone, nil, false, s.version)
+			s.mu.Unlock()
+			return
+		}
 		var list []row
 		for _, c := range s.changes {
 			if c.Table == q.Get("table") && c.Version > since {
@@ -183,3 +216,66 @@
 		}
 	}
 }
+
+func (s *store) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
+
+// drill takes the store away and brings it back from a copy that is older than its absence by
+// age. Versions go back and are given out again. The operator and the replicas write again
+// what of theirs was lost, a time after the store is back.
+func (s *store) drill(away, age, rewrite time.Duration) {
+	s.mu.Lock()
+	s.away = true
+	copied := time.Now().Add(-age)
+	s.mu.Unlock()
+	time.Sleep(away)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := make(map[rowKey]row)
+	for len(s.undos) > 0 && s.undos[len(s.undos)-1].at.After(copied) {
+		u := s.undos[len(s.undos)-1]
+		s.undos = s.undos[:len(s.undos)-1]
+		s.version--
+		for _, b := range u.before {
+			if _, known := lost[b.id()]; !known && (b.Table == "op" || b.Table == "servers") {
+				now := s.rows[b.id()]
+				now.Table, now.Part, now.Key = b.Table, b.Part, b.Key
+				lost[b.id()] = now
+			}
+		}
+		for _, b := range u.before {
+			delete(s.rows, b.id())
+			if b.Version > 0 {
+				s.rows[b.id()] = b
+			}
+		}
+	}
+	s.changes = slices.DeleteFunc(s.changes, func(c row) bool { return c.Version > s.version })
+	s.era++
+	s.away = false
+	close(s.changed)
+	s.changed = make(chan struct{})
+	time.AfterFunc(rewrite, func() { s.rewrite(lost) })
+}
+
+func (s *store) rewrite(lost map[rowKey]row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range lost {
+		if r.Version > 0 {
+			s.apply(transaction{Puts: []row{{Table: r.Table, Part: r.Part, Key: r.Key, Value: r.Value}}})
+		} else {
+			s.apply(transaction{Delete: []row{r}})
+		}
+	}
+}
+
+// remove removes a row as a replica does that leaves.
+func (s *store) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(transaction{Delete: []row{{Table: table, Key: key}}})
+}
--- a/review/rig-3/world.go
+++ b/review/rig-3/world.go
@@ -13,6 +13,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 	"unsafe"
@@ -348,6 +349,11 @@
 
 // writeManifest writes op/config as the operator does.
 func (w *world) writeManifest(version int, routes []route, services ...string) {
+	w.writeManifestFor([]string{credential}, version, routes, services...)
+}
+
+// writeManifestFor writes it with the given keys of the customer.
+func (w *world) writeManifestFor(keys []string, version int, routes []route, services ...string) {
 	list := []map[string]any{}
 	for _, s := range services {
 		list = append(list, map[string]any{"name": s, "health_check": "/health", "max_connections": 370, "protocol": "h1", "tls": false})
@@ -355,7 +361,7 @@
 	w.store.put("op", "config", map[string]any{
 		"version": version, "routes": routes, "services": list,
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "hule930", "api_keys": []string{credential}, "priority": 1}},
+		"tenants": []map[string]any{{"name": "hule930", "api_keys": keys, "priority": 1}},
 	})
 }
 
@@ -364,6 +370,7 @@
 	id, service, address string
 	mu                   sync.Mutex
 	ran                  []string
+	silent               atomic.Bool // it writes no entry any more
 }
 
 func (w *world) startReplica(id, service string, slots int, serve func(r *replica, q *http.Request, body []byte, out net.Conn) bool) (*replica, error) {
@@ -392,6 +399,9 @@
 	go func() {
 		for n := 2; ; n++ {
 			time.Sleep(1200 * time.Millisecond)
+			if r.silent.Load() {
+				return
+			}
 			beat(n)
 		}
 	}()
@@ -442,6 +452,11 @@
 
 // requestText is a request of a requester, in wire format.
 func requestText(method, path, id string, deadline time.Duration, extra string, body []byte) []byte {
+	return requestWith(credential, method, path, id, deadline, extra, body)
+}
+
+// requestWith is a request with a key.
+func requestWith(credential, method, path, id string, deadline time.Duration, extra string, body []byte) []byte {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nCredential: %s\r\n%s", method, path, host, id, deadline.Milliseconds(), credential, extra)
 	if method != http.MethodGet {
