--- a/review/rig-3/case_leaving.go
+++ b/review/rig-3/case_leaving.go
@@ -22,6 +22,8 @@
 	// the class volunteer-chat. The bookers of a burst come then.
 	chatters = 90
 	bookers  = 210
+	// eventInterval is the time of four steps of an engine.
+	eventInterval = 15200 * time.Microsecond
 	// maxLost is how often LOST allows it.
 	maxLost = 3
 )
--- a/review/rig-3/case_smuggled.go
+++ b/review/rig-3/case_smuggled.go
@@ -10,9 +10,6 @@
 	"time"
 )
 
-// eventInterval is the time of four steps of an engine.
-const eventInterval = 15200 * time.Microsecond
-
 // spoiltHead is a way to spoil the length of a request. fields returns the framing fields of
 // a request with the given length of its body. The body is begin, and then the inner request.
 type spoiltHead struct {
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -14,10 +14,11 @@
 
 // cases are the scripted cases by name. trouble is false if the disruption is left out.
 var cases = map[string]func(w *world, trouble bool) (int, error){
-	"leaving":  leaving,
-	"smuggled": smuggled,
-	"restored": restored,
-	"left":     left,
+	"leaving":       leaving,
+	"smuggled":      smuggled,
+	"restored":      restored,
+	"left":          left,
+	"endless-heads": endlessHeads,
 }
 
 func main() {
