daemon/dump: the sections of an entry gateway's state dump

The three types of its dump's sections hold no logic of the duties; they stand in a package of their own now, exported, unchanged.

--- a/daemon/entry/cluster_dump.go
+++ b/daemon/dump/cluster.go
@@ -1,9 +1,9 @@
-package entry
+package dump
 
 import "github.com/sycamorecourse/sycamorecourse/serving/cluster"
 
-// clusterDump is the cluster duty's section of a state dump.
-type clusterDump struct {
+// Cluster is the cluster duty's section of a state dump.
+type Cluster struct {
 	Live []cluster.Record `json:"live"`
 	// Gateways are all that have a record, those that have fallen silent included.
 	Gateways []cluster.PeerState `json:"gateways"`
--- /dev/null
+++ b/daemon/dump/doc.go
@@ -0,0 +1,2 @@
+// Package dump holds the sections of an entry gateway's state dump.
+package dump
--- a/daemon/entry/peers_dump.go
+++ b/daemon/dump/peers.go
@@ -1,7 +1,7 @@
-package entry
+package dump
 
-// peersDump is the peers duty's section of a state dump.
-type peersDump struct {
+// Peers is the peers duty's section of a state dump.
+type Peers struct {
 	IsHub         bool              `json:"is_hub"`
 	LastHub       string            `json:"last_hub"`
 	NewsAgeMillis int64             `json:"news_age_ms"`
--- a/daemon/entry/watch_dump.go
+++ b/daemon/dump/watch.go
@@ -1,7 +1,7 @@
-package entry
+package dump
 
-// watchDump is the watch duty's section of a state dump.
-type watchDump struct {
+// Watch is the watch duty's section of a state dump.
+type Watch struct {
 	Config    uint64            `json:"config"`
 	Entries   int               `json:"upstream_entries"`
 	Usable    int               `json:"upstreams_usable"`
--- a/daemon/entry/coordinator.go
+++ b/daemon/entry/coordinator.go
@@ -8,6 +8,7 @@
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/coord/lease"
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/daemon/dump"
 	"github.com/sycamorecourse/sycamorecourse/daemon/report"
 	"github.com/sycamorecourse/sycamorecourse/platform/cloud"
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
@@ -279,8 +280,8 @@
 	}
 }
 
-func (c *coordinator) dump(now clock.Instant) clusterDump {
-	return clusterDump{
+func (c *coordinator) dump(now clock.Instant) dump.Cluster {
+	return dump.Cluster{
 		Live:     c.view.Live(),
 		Gateways: c.view.Peers(now),
 		Ready:    c.record.Ready,
--- a/daemon/entry/peers.go
+++ b/daemon/entry/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/daemon/dump"
 	"github.com/sycamorecourse/sycamorecourse/daemon/report"
 	"github.com/sycamorecourse/sycamorecourse/platform/served"
 	"github.com/sycamorecourse/sycamorecourse/serving/cluster"
@@ -278,8 +279,8 @@
 	}
 }
 
-func (p *peers) dump(now clock.Instant) peersDump {
-	d := peersDump{
+func (p *peers) dump(now clock.Instant) dump.Peers {
+	d := dump.Peers{
 		IsHub: p.plan.IsHub(), LastHub: p.lastHub, NewsAgeMillis: now.Sub(p.newsAt).Milliseconds(),
 		Polls: p.polls, Failures: p.failures, Answered: p.answered,
 		Versions: make(map[string]uint64), Timelines: make(map[string]uint64),
--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -9,6 +9,7 @@
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/coord/retry"
 	"github.com/sycamorecourse/sycamorecourse/coord/ring"
+	"github.com/sycamorecourse/sycamorecourse/daemon/dump"
 	"github.com/sycamorecourse/sycamorecourse/daemon/report"
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/platform/served"
@@ -236,8 +237,8 @@
 	return w.config
 }
 
-func (w *watch) dump(now clock.Instant) watchDump {
-	d := watchDump{
+func (w *watch) dump(now clock.Instant) dump.Watch {
+	d := dump.Watch{
 		Entries:   len(w.roster.Entries()),
 		Usable:    len(w.roster.Usable(now)),
 		Draining:  w.roster.DrainingCount(),
