httpd: a connection's state reaches the thread that ends it by an atomic access

Cause: nbio ends connections on other threads than their pollers (a stop of the server does), and its access to a connection's session is ordered after nothing that the poller wrote. CloseAndClean read the fields of a connection that the poller had made and not yet written to. On arm64 it may see them empty.

Change: the engine keeps a session, which holds the connection's state behind an atomic pointer. If the pointer is still empty, no request was passed on, and there is nobody to tell.

Test: edge/httpd "Server that is closed while heads have not ended", 4 of 4 runs red with the race detector before, 3 of 3 green after; all of edge passes with it (x86_64).

--- a/edge/httpd/connection.go
+++ b/edge/httpd/connection.go
@@ -1,13 +1,11 @@
 package httpd
 
 import (
-	"net"
 	"net/url"
 	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/nbhttp"
 
 	"github.com/sycamorecourse/sycamorecourse/edge/http1"
 )
@@ -40,21 +38,14 @@
 	}
 }
 
-// UnderlayerConn implements nbhttp.ParserCloser.
-func (c *connection) UnderlayerConn() net.Conn {
-	return c.conn
-}
-
-// CloseAndClean implements nbhttp.ParserCloser. It is called once, when the connection is
-// closed.
-func (c *connection) CloseAndClean(error) {
+// disconnected tells the handler that the connection has ended. It is called once.
+func (c *connection) disconnected() {
 	if t := c.open.Swap(&turns{isOver: true}); t != nil && t.current != nil {
 		c.handler.Disconnected(t.current)
 	}
 }
 
-// Parse implements nbhttp.ParserCloser: it handles received bytes, on the poller. An error
-// closes the connection.
+// Parse handles received bytes, on the poller. An error closes the connection.
 func (c *connection) Parse(data []byte) error {
 	for len(data) > 0 && !c.isOver {
 		request, rest, err := c.reader.Next(data, c.server.limits())
@@ -208,5 +199,3 @@
 	_ = x.conn.SetReadDeadline(time.Time{})
 	c.handler.Serve(x)
 }
-
-var _ nbhttp.ParserCloser = (*connection)(nil)
--- a/edge/httpd/server.go
+++ b/edge/httpd/server.go
@@ -101,14 +101,15 @@
 // own, which is replaced before its first byte: nbhttp accepts requests that can be
 // understood in two ways.
 func (s *Server) read(c *nbio.Conn, data []byte) {
-	state, ok := c.Session().(*connection)
+	state, ok := c.Session().(*session)
 	if !ok {
 		if _, ok := c.Session().(*nbhttp.Parser); !ok {
 			// The connection is a probe of pollers.Await.
 			c.DataHandler()(c, data)
 			return
 		}
-		state = newConnection(s, c)
+		state = &session{conn: c}
+		state.connection.Store(newConnection(s, c))
 		c.SetSession(state)
 	}
 	if err := state.Parse(data); err != nil {
