--- a/daemon/entry/admin.go
+++ b/daemon/entry/admin.go
@@ -10,12 +10,13 @@
 )
 
 // admin takes requests at the internal address: polls of other gateways go to the
-// peers duty, their questions about limits to dispatch, everything else to the report
-// duty. It implements httpd.Handler.
+// peers duty, their questions about limits to dispatch, those about what the store has lost
+// to the watch duty, everything else to the report duty. It implements httpd.Handler.
 type admin struct {
 	report   httpd.Handler
 	peers    *ring.Ring[peerMessage]
 	dispatch *ring.Ring[dispatchMessage]
+	watch    *ring.Ring[watchMessage]
 	log      zerolog.Logger
 }
 
@@ -29,6 +30,8 @@
 		err = a.dispatch.Offer(limitAsked{exchange: x})
 	case usePath:
 		err = a.dispatch.Offer(useTold{exchange: x})
+	case catchUpPath:
+		err = a.watch.Offer(watchMessage{catchUpAsked: x})
 	default:
 		a.report.Serve(x)
 		return
--- a/daemon/entry/cluster_message.go
+++ b/daemon/entry/cluster_message.go
@@ -3,7 +3,7 @@
 // clusterMessage is a message to the cluster duty: requestStats, recordsRead,
 // recordWritten, recordsKnown, leaseRead, leaseWritten, countsStored, countsRead,
 // timelineStored, timelineRead, usageReported, upstreamsOrdered, setFleet, setReady,
-// leaveCluster or dumpCluster.
+// gatewaysWanted, leaveCluster or dumpCluster.
 type clusterMessage interface {
 	isClusterMessage()
 }
--- a/daemon/entry/coordinator.go
+++ b/daemon/entry/coordinator.go
@@ -164,6 +164,8 @@
 			return nil
 		}
 		now = c.clock.Now()
+		// The message may be of a new timeline.
+		c.observeTimeline(c.store.Timeline(), now)
 		if ok {
 			c.containment.run(m, now, func() { c.handle(m, now) })
 		}
@@ -199,7 +201,6 @@
 	if c.hasRead && !c.isStale && c.view.IsStale(now) {
 		c.publish(now)
 	}
-	c.observeTimeline(c.store.Timeline(), now)
 	c.checkLease(now)
 	if c.holdsLease && !c.reporting && !now.Before(c.reportAt) {
 		c.reportNextWindow(now)
@@ -254,6 +255,11 @@
 		c.handleTimelineRead(m, now)
 	case usageReported:
 		c.handleUsageReported(m, now)
+	case gatewaysWanted:
+		c.hurryHeartbeat(urgentHeartbeatInterval, now)
+		if c.hasRead {
+			c.publishGateways()
+		}
 	case setRollouts:
 		c.rolloutOrders = m.orders
 	case rolloutRead:
--- a/daemon/entry/coordinator_records.go
+++ b/daemon/entry/coordinator_records.go
@@ -254,9 +254,7 @@
 		c.isStale = isStale
 		c.log.Warn().Bool("reduced", isStale).Int("gateways", message.division.Gateways).Msg("limits_divided")
 	}
-	if !c.record.Ready {
-		offerOrLog(c.watch, watchMessage{hasConfigNews: true, newestConfig: c.view.NewestConfig()}, c.log)
-	}
+	c.publishGateways()
 	c.publishHubs(ready)
 	c.publishEvidence(now)
 	c.publishDraining()
@@ -265,6 +263,22 @@
 	offerOrLog(c.dispatch, dispatchMessage(setClockOffset{offset: c.clockOffset(), store: c.storeNow(0)}), c.log)
 }
 
+// publishGateways tells the watch duty of the other gateways once the store was restored:
+// they may know what it has lost.
+func (c *coordinator) publishGateways() {
+	timeline := c.timelineAge.timeline
+	if !exchange.IsRestored(timeline) {
+		return
+	}
+	var list []exchange.Peer
+	for _, r := range c.view.Others(c.record.Instance) {
+		if r.PeerAddress != "" {
+			list = append(list, exchange.Peer{Instance: r.Instance, Address: r.PeerAddress, Config: r.Config, IsLive: c.view.IsLive(r.Instance)})
+		}
+	}
+	offerOrLog(c.watch, watchMessage{gateways: list, gatewaysTimeline: timeline}, c.log)
+}
+
 // publishHubs tells the peers and watch duties which gateways are hubs, if that has
 // changed.
 func (c *coordinator) publishHubs(ready []cluster.Record) {
--- a/daemon/entry/duty_metrics.go
+++ b/daemon/entry/duty_metrics.go
@@ -21,6 +21,7 @@
 	timeline prometheus.Gauge
 	restores prometheus.Counter
 	updates  *prometheus.CounterVec
+	catchUps *prometheus.CounterVec
 }
 
 func newDutyMetrics(registry *prometheus.Registry) *dutyMetrics {
@@ -46,7 +47,11 @@
 			Help: "Updates of the followed tables by the store or a hub, by table and verdict.",
 		}, []string{"table", "verdict"}),
 	}
-	registry.MustRegister(d.acquired, d.refused, d.timeline, d.restores, d.updates)
+	d.catchUps = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sycamore_catch_up_asks_total",
+		Help: "Questions to other gateways for what a restored store may have lost, by what came of them.",
+	}, []string{"outcome"})
+	registry.MustRegister(d.acquired, d.refused, d.timeline, d.restores, d.updates, d.catchUps)
 	return d
 }
 
@@ -62,6 +67,10 @@
 	m.duties.updates.WithLabelValues(table, string(verdict)).Inc()
 }
 
+func (m *metrics) recordCatchUp(outcome string) {
+	m.duties.catchUps.WithLabelValues(outcome).Inc()
+}
+
 func (m *metrics) recordTimeline(t rows.TimelineChange) {
 	m.duties.timeline.Set(float64(t.Present))
 	if t.Former > 0 {
--- a/daemon/entry/entry_new.go
+++ b/daemon/entry/entry_new.go
@@ -73,11 +73,12 @@
 		usageWindow: max(s.UsageWindow, time.Second),
 		usageCounts: make(map[int64]usage.Counts),
 	}
-	e.watch = newWatch()
+	e.watch = newWatch(s.Instance)
 	e.watch.roster.SetMinOutage(expiryHeartbeats * s.UpstreamHeartbeat)
 	e.watch.inbox = ring.New[watchMessage]("watch", controlCapacity)
 	e.watch.dispatch, e.watch.directory, e.watch.cluster = dispatchRing, directoryRing, clusterRing
 	e.watch.store, e.watch.clock, e.watch.log = store, clock.System{}, log
+	e.watch.client = &peerClient{http: e.peer}
 	e.watch.propagationLimit = s.PropagationLimit
 	e.watch.metrics, e.dispatch.watch = e.dispatch.metrics, e.watch.inbox
 	e.cluster = e.newCoordinator(store, clusterRing)
@@ -108,7 +109,7 @@
 	}, handler)
 	e.dispatch.server = e.server
 	if s.AdminAddress != "" {
-		e.admin = httpd.New(httpd.Config{Address: s.AdminAddress, Pollers: 1}, &admin{report: e.report, peers: e.peers.inbox, dispatch: dispatchRing, log: log})
+		e.admin = httpd.New(httpd.Config{Address: s.AdminAddress, Pollers: 1}, &admin{report: e.report, peers: e.peers.inbox, dispatch: dispatchRing, watch: e.watch.inbox, log: log})
 	}
 	e.dispatch.containment = containment{duty: "dispatch", log: log}
 	e.watch.containment = containment{duty: "watch", log: log}
--- a/daemon/entry/peer_client.go
+++ b/daemon/entry/peer_client.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// cborType is the content type of the messages between gateways.
+	cborType = "application/cbor"
 	// pollPath is the path at which a gateway answers polls.
 	pollPath = "/peers/poll"
 	// pollTimeout bounds a poll. A hub answers from memory.
@@ -24,6 +26,12 @@
 	usePath     = "/peers/use"
 	useTimeout  = 150 * time.Millisecond
 	maxUseBytes = 1 << 20
+	// catchUpPath is the path at which a gateway tells what the store may have lost,
+	// catchUpTimeout bounds the call, and maxCatchUpBytes the reply: more than a row of the
+	// store may hold.
+	catchUpPath     = "/peers/catch-up"
+	catchUpTimeout  = 400 * time.Millisecond
+	maxCatchUpBytes = 2 << 20
 )
 
 // peerClient calls other gateways. Its methods may be called by any thread.
@@ -49,8 +57,14 @@
 	call(c.http, address, usePath, n, useTimeout, sink)
 }
 
+// catchUp asks a gateway for what the store may have lost. It calls done once, on any thread.
+func (c *peerClient) catchUp(address string, a exchange.CatchUpAsk, done func(exchange.CatchUpReply, error)) {
+	sink := &peerSink[exchange.CatchUpReply]{maxBytes: maxCatchUpBytes, decode: exchange.DecodeCatchUpReply, done: done}
+	call(c.http, address, catchUpPath, a, catchUpTimeout, sink)
+}
+
 // call sends a message to another gateway.
-func call[T any](client *httpc.Client, address, path string, message peerEncoder, timeout time.Duration, sink *peerSink[T]) {
+func call[T any](client *httpc.Client, address, path string, message exchange.Message, timeout time.Duration, sink *peerSink[T]) {
 	body, err := message.Encode()
 	if err != nil {
 		sink.Failed(err)
--- a/daemon/entry/rollout_bed_test.go
+++ b/daemon/entry/rollout_bed_test.go
@@ -97,14 +97,14 @@
 	client := rows.New(b.store.Address(), 2*time.Second, hosttest.StartClient())
 	c := &coordinator{
 		inbox: ring.New[clusterMessage]("cluster", 64), dispatch: ring.New[dispatchMessage]("dispatch", 256),
-		peers: ring.New[peerMessage]("peers", 4096), store: client, log: zerolog.Nop(), clock: clock.System{},
+		peers: ring.New[peerMessage]("peers", 4096), watch: ring.New[watchMessage]("news", 16), store: client, log: zerolog.Nop(), clock: clock.System{},
 		record: cluster.Record{Instance: name, Incarnation: 1}, records: exchange.NewRecordLog(), tally: usage.NewTally(5 * time.Second),
 		view: cluster.NewView(time.Hour, time.Hour), rolloutPlanner: rollout.Planner{Exposure: defaultExposure},
 		lease: lease.New(leaseName, lease.DefaultConfig(), lease.Holder{Instance: name, Incarnation: 1}),
 		// The records of others come before anything else.
 		hasRead: true, storeClock: time.Hour, storeClockReadAt: clock.Instant(time.Hour),
 	}
-	w := newWatch()
+	w := newWatch("g")
 	w.metrics = newMetrics(prometheus.NewRegistry())
 	w.store, w.inbox, w.dispatch, w.cluster, w.peers = client, ring.New[watchMessage]("watch", 16), c.dispatch, c.inbox, c.peers
 	w.log, w.clock, w.propagationLimit = zerolog.Nop(), c.clock, 2*time.Second
--- a/daemon/entry/watch.go
+++ b/daemon/entry/watch.go
@@ -13,7 +13,6 @@
 	"github.com/sycamorecourse/sycamorecourse/daemon/report"
 	"github.com/sycamorecourse/sycamorecourse/platform/rows"
 	"github.com/sycamorecourse/sycamorecourse/platform/served"
-	"github.com/sycamorecourse/sycamorecourse/serving/catalog"
 	"github.com/sycamorecourse/sycamorecourse/serving/exchange"
 	"github.com/sycamorecourse/sycamorecourse/serving/rollout"
 	"github.com/sycamorecourse/sycamorecourse/serving/roster"
@@ -95,7 +94,8 @@
 	sendClock exchange.SendClock
 	tables    map[string]*watchedTable
 	roster    *roster.Roster
-	config    *catalog.Catalog
+	// config is the newest configuration that this process knows; nil if it knows none.
+	config *configCopy
 	// isHub is set if this gateway follows the store for others.
 	isHub bool
 	// announcedReady is set once the directory and the cluster duty have been told
@@ -105,10 +105,11 @@
 	upstreamsChanged bool
 	// configChanged is set while dispatch lacks the current configuration.
 	configChanged bool
-	// configFloor decides on the first configuration; nil once one is in use. isAwaiting is
-	// set while it does not allow the one that was read.
-	configFloor *exchange.ConfigFloor
-	isAwaiting  bool
+	// client asks the gateways that catchUp selects, which decides whether config may be used.
+	// loggedStanding is the last standing that was logged.
+	client         *peerClient
+	catchUp        *exchange.CatchUp
+	loggedStanding exchange.Standing
 	// rollouts are the orders of roll-outs. rolloutsChanged is set while dispatch lacks
 	// them, and rolloutsUnplanned while the cluster duty does.
 	rollouts                           *rollout.Book
@@ -117,8 +118,9 @@
 	fleetChanged bool
 }
 
-func newWatch() *watch {
+func newWatch(instance string) *watch {
 	return &watch{
+		catchUp:  exchange.NewCatchUp(instance),
 		roster:   roster.New(recoveryGrace),
 		rollouts: rollout.NewBook(),
 		throttleBackoff: retry.NewBackoff(
@@ -131,9 +133,9 @@
 }
 
 func (w *watch) run() error {
-	w.configFloor = exchange.NewConfigFloor(w.clock.Now())
 	for {
 		now := w.clock.Now()
+		w.askGateways(now)
 		for _, t := range w.tables {
 			w.startCall(t, now)
 		}
@@ -155,10 +157,12 @@
 		_ = m.dump.Offer(report.Section{Name: "watch", State: w.dump(now)})
 	case m.role != nil:
 		w.isHub = m.role.isHub
-	case m.hasConfigNews:
-		if w.configFloor != nil {
-			w.configFloor.Heard(m.newestConfig)
-		}
+	case m.gatewaysTimeline != 0:
+		w.catchUp.Known(m.gateways, m.gatewaysTimeline, now)
+	case m.catchUpAsked != nil:
+		w.answerCatchUp(m.catchUpAsked)
+	case m.caughtUp != nil:
+		w.handleCaughtUp(m.caughtUp, now)
 	case m.draining != nil:
 		w.handleDraining(m, now)
 	case m.updates != nil:
@@ -183,6 +187,9 @@
 	if next, ok := w.roster.NextExpiry(); ok {
 		wait = min(wait, next.Sub(now))
 	}
+	if next, ok := w.catchUp.NextDue(); ok {
+		wait = min(wait, next)
+	}
 	if next, ok := w.rollouts.NextExpiry(); ok {
 		wait = min(wait, next.Sub(now))
 	}
@@ -196,15 +203,17 @@
 	if next, ok := w.roster.NextExpiry(); ok && !now.Before(next) {
 		w.upstreamsChanged = true
 	}
-	if w.configChanged && w.mayUseConfig(now) && w.dispatch.Offer(setCatalog{catalog: w.config}) == nil {
-		w.configChanged, w.configFloor, w.fleetChanged = false, nil, true
+	if w.configChanged && w.mayUseConfig(now) && w.dispatch.Offer(setCatalog{catalog: w.config.Catalog}) == nil {
+		w.configChanged, w.fleetChanged = false, true
+		w.catchUp.Use()
+		w.logConfigInForce()
 	}
 	if w.upstreamsChanged && w.dispatch.Offer(setUpstreams{list: w.roster.Usable(now)}) == nil {
 		w.upstreamsChanged = false
 		w.fleetChanged = true
 	}
 	w.publishRollouts(now)
-	if w.fleetChanged && w.cluster.Offer(setFleet{catalog: w.configInUse(), upstreams: w.roster.List()}) == nil {
+	if w.fleetChanged && w.cluster.Offer(setFleet{catalog: w.catalogInUse(), upstreams: w.roster.List()}) == nil {
 		w.fleetChanged = false
 	}
 	if !w.announcedReady && w.config != nil && w.tables[served.UpstreamTable].cursor.Position().Version > 0 && !w.upstreamsChanged && !w.configChanged {
@@ -215,30 +224,9 @@
 	}
 }
 
-// mayUseConfig reports whether the configuration that was read may be used. The first one of
-// a process may be older than what the others use.
-func (w *watch) mayUseConfig(now clock.Instant) bool {
-	timeline := w.tables[served.ConfigTable].cursor.Position().Timeline
-	if w.configFloor == nil || w.configFloor.Allows(w.config.Version, timeline, now) {
-		return true
-	}
-	if !w.isAwaiting {
-		w.isAwaiting = true
-		w.log.Info().Uint64("read", w.config.Version).Uint64("timeline", timeline).Msg("config_awaited")
-	}
-	return false
-}
-
-// configInUse returns the configuration that dispatch has, or is to get; nil if none is.
-func (w *watch) configInUse() *catalog.Catalog {
-	if w.configFloor != nil {
-		return nil
-	}
-	return w.config
-}
-
 func (w *watch) dump(now clock.Instant) dump.Watch {
 	d := dump.Watch{
+		CatchUp:   w.catchUp.State(now),
 		Entries:   len(w.roster.Entries()),
 		Usable:    len(w.roster.Usable(now)),
 		Draining:  w.roster.DrainingCount(),
@@ -247,7 +235,7 @@
 		AgeMillis: make(map[string]int64),
 	}
 	if w.config != nil {
-		d.Config = w.config.Version
+		d.Config, d.ConfigSource = w.config.Version, w.config.source
 	}
 	for name, t := range w.tables {
 		d.Versions[name] = t.cursor.Position().Version
--- a/daemon/entry/watch_apply.go
+++ b/daemon/entry/watch_apply.go
@@ -40,6 +40,9 @@
 	case t.table == served.ConfigTable:
 		w.applyRollouts(p, span.IsList, now)
 		w.applyConfig(p)
+		if w.catchUp.Read(span.End.Timeline, now) {
+			offerOrLog(w.cluster, clusterMessage(gatewaysWanted{}), w.log)
+		}
 	case verdict == exchange.Restored:
 		w.restoreUpstreams(p, since, now)
 	case span.IsList:
@@ -111,36 +114,6 @@
 	}
 }
 
-func (w *watch) applyConfig(p rows.Page) {
-	for _, r := range p.Rows {
-		if r.Key.Sort != served.ConfigKey || r.Removed {
-			continue
-		}
-		next, err := served.DecodeConfig(r.Value)
-		if err != nil {
-			w.log.Warn().Str("cause", err.Error()).Msg("row_ignored")
-			continue
-		}
-		if w.config != nil && next.Version <= w.config.Version {
-			w.noteFormerConfig(next, p)
-			continue
-		}
-		w.config = next
-		w.log.Info().Uint64("config", next.Version).Uint64("store_version", r.Version).Uint64("timeline", p.Timeline).
-			Int("routes", next.RouteCount()).Int("customers", len(next.Customers)).Msg("config_in_force")
-		w.configChanged = true
-		w.fleetChanged = true
-	}
-}
-
-// noteFormerConfig logs that the store has a configuration that is older than the one in
-// force, which stays in force.
-func (w *watch) noteFormerConfig(stored *catalog.Catalog, p rows.Page) {
-	if stored.Version < w.config.Version {
-		w.log.Warn().Uint64("config", w.config.Version).Uint64("stored", stored.Version).Uint64("timeline", p.Timeline).Msg("config_kept")
-	}
-}
-
 // changeUpstreams takes over changes of the upstreams.
 func (w *watch) changeUpstreams(p rows.Page, now clock.Instant) {
 	if len(p.Rows) == 0 {
--- a/daemon/entry/watch_restore_test.go
+++ b/daemon/entry/watch_restore_test.go
@@ -28,7 +28,7 @@
 	var w *watch
 	var t *watchedTable
 	ginkgo.BeforeEach(func() {
-		w = newWatch()
+		w = newWatch("g")
 		w.propagationLimit, w.log, w.metrics = 2*time.Second, zerolog.Nop(), newMetrics(prometheus.NewRegistry())
 		w.dispatch, w.cluster = ring.New[dispatchMessage]("dispatch", 64), ring.New[clusterMessage]("cluster", 64)
 		w.peers = ring.New[peerMessage]("peers", 64)
--- a/daemon/entry/watch_test.go
+++ b/daemon/entry/watch_test.go
@@ -23,7 +23,7 @@
 	start := clock.Instant(time.Hour)
 
 	ginkgo.It("calls the store in time after the hub last knew, not after its last news", func() {
-		w := newWatch()
+		w := newWatch("g")
 		w.metrics = newMetrics(prometheus.NewRegistry())
 		w.propagationLimit = limit
 		w.dispatch = ring.New[dispatchMessage]("dispatch", 64)
@@ -39,7 +39,7 @@
 	})
 
 	ginkgo.It("as a hub tells no later time than the store can have answered", func() {
-		w := newWatch()
+		w := newWatch("g")
 		w.metrics = newMetrics(prometheus.NewRegistry())
 		w.propagationLimit, w.isHub = limit, true
 		w.dispatch = ring.New[dispatchMessage]("dispatch", 64)
@@ -55,7 +55,7 @@
 	})
 
 	ginkgo.It("as a hub dates a response that waited in its link by the store's clock", func() {
-		w := newWatch()
+		w := newWatch("g")
 		w.metrics = newMetrics(prometheus.NewRegistry())
 		w.propagationLimit, w.isHub = limit, true
 		w.dispatch = ring.New[dispatchMessage]("dispatch", 64)
@@ -85,7 +85,7 @@
 			calls := make(map[time.Duration]int)
 			most := 0
 			for range gateways {
-				w, t := newWatch(), &watchedTable{}
+				w, t := newWatch("g"), &watchedTable{}
 				delay := time.Duration(0)
 				for range failures {
 					delay = w.retryDelay(t, throttled)
@@ -100,7 +100,7 @@
 	})
 
 	ginkgo.It("comes back soon after other failures", func() {
-		w, t := newWatch(), &watchedTable{}
+		w, t := newWatch("g"), &watchedTable{}
 		Expect(w.retryDelay(t, &row.UnavailableError{Err: &rows.StatusError{Status: http.StatusServiceUnavailable}})).To(Equal(watchRetryDelay))
 		w.retryDelay(t, throttled)
 		Expect(t.throttled).To(Equal(1))
--- a/proof/entry/drill_site_test.go
+++ b/proof/entry/drill_site_test.go
@@ -255,7 +255,7 @@
 	for _, name := range slices.Sorted(maps.Keys(d.gateways)) {
 		for line := d.gateways[name].logged(); line != ""; line = d.gateways[name].logged() {
 			if strings.Contains(line, "duties") || strings.Contains(line, "lease") || strings.Contains(line, "usage") ||
-				strings.Contains(line, "timeline") || strings.Contains(line, "upstream") {
+				strings.Contains(line, "timeline") || strings.Contains(line, "upstream") || strings.Contains(line, "config") {
 				GinkgoWriter.Printf("%s: %s", name, line)
 			}
 		}
--- a/serving/cluster/view.go
+++ b/serving/cluster/view.go
@@ -145,14 +145,16 @@
 	return list
 }
 
-// NewestConfig returns the version of the newest configuration that a live gateway uses; 0
-// if none has told.
-func (v *View) NewestConfig() uint64 {
-	newest := uint64(0)
-	for _, record := range v.Live() {
-		newest = max(newest, record.Config)
-	}
-	return newest
+// Others returns the records of all gateways but one whose processes have not said that they
+// have ended, silent ones included, ordered by name.
+func (v *View) Others(instance string) []Record {
+	return v.list(func(p *peer) bool { return p.record.Instance != instance && !p.record.Ended })
+}
+
+// IsLive reports whether a gateway has written its record lately.
+func (v *View) IsLive(instance string) bool {
+	p := v.peers[instance]
+	return p != nil && v.isLive(p)
 }
 
 // Silent returns the names of the gateways whose records have not changed for the
--- /dev/null
+++ b/serving/exchange/catch_up_ask.go
@@ -0,0 +1,8 @@
+package exchange
+
+// CatchUpAsk is the message of a gateway to another one, asking for what a restored store may
+// have lost.
+type CatchUpAsk struct {
+	// Config is the version of the configuration that the sender has; 0 if none.
+	Config uint64 `cbor:"1,keyasint,omitempty"`
+}
--- a/serving/exchange/encoding.go
+++ b/serving/exchange/encoding.go
@@ -96,3 +96,31 @@
 	}
 	return n, nil
 }
+
+// Encode returns the message in its wire format.
+func (a CatchUpAsk) Encode() ([]byte, error) {
+	return cbor.Marshal(a)
+}
+
+// Encode returns the message in its wire format.
+func (r CatchUpReply) Encode() ([]byte, error) {
+	return cbor.Marshal(r)
+}
+
+// DecodeCatchUpAsk decodes a CatchUpAsk. It fails with a *DecodeError.
+func DecodeCatchUpAsk(body []byte) (CatchUpAsk, error) {
+	var a CatchUpAsk
+	if err := decoding.Unmarshal(body, &a); err != nil {
+		return CatchUpAsk{}, &DecodeError{Message: "catch-up ask", Err: err}
+	}
+	return a, nil
+}
+
+// DecodeCatchUpReply decodes a CatchUpReply. It fails with a *DecodeError.
+func DecodeCatchUpReply(body []byte) (CatchUpReply, error) {
+	var r CatchUpReply
+	if err := decoding.Unmarshal(body, &r); err != nil {
+		return CatchUpReply{}, &DecodeError{Message: "catch-up reply", Err: err}
+	}
+	return r, nil
+}
