exchange: asks that fail come less often

A process that serves and hears of a newer configuration asked its holder, if that does not answer, every 150 ms until its record was dropped, up to a minute. The time between two asks of the same gateway grows with its failures now, to 0.6 s. Specs of serving/exchange pass.

--- a/serving/exchange/catch_up.go
+++ b/serving/exchange/catch_up.go
@@ -19,8 +19,10 @@
 	enoughAnswers = 3
 	// maxOpenAsks bounds the asks in progress.
 	maxOpenAsks = 8
-	// askRetryDelay is the time between two asks of the same gateway.
-	askRetryDelay = 150 * time.Millisecond
+	// askRetryDelay is the time between two asks of the same gateway. It grows with each
+	// failure, up to maxRetryFactor times that.
+	askRetryDelay  = 150 * time.Millisecond
+	maxRetryFactor = 4
 	// storeLead is how long a process that uses a configuration waits for a newer one to come
 	// from the store before it asks the gateways that use it.
 	storeLead = 500 * time.Millisecond
@@ -137,8 +139,8 @@
 	if p == nil || timeline != c.timeline {
 		return
 	}
-	p.isOpen, p.retryAt = false, now.Add(askRetryDelay)
 	p.failures++
+	p.isOpen, p.retryAt = false, now.Add(askRetryDelay*time.Duration(min(p.failures, maxRetryFactor)))
 	// One that has long been silent has most likely ended.
 	p.isSettled = p.isSettled || cannotAnswer || !p.IsLive
 }
