entry: a configuration without a version is never taken from another gateway

Read again as a newcomer: the design note says that only a version above the receiver's own is taken; a process that knows none had no such check. No gateway sends one. Specs of serving/exchange and daemon/entry pass.

--- a/daemon/entry/watch_catch_up.go
+++ b/daemon/entry/watch_catch_up.go
@@ -28,10 +28,7 @@
 			w.catchUp.Failed(g.Instance, timeline, false, now)
 			continue
 		}
-		ask := exchange.CatchUpAsk{}
-		if w.config != nil {
-			ask.Config = w.config.Version
-		}
+		ask := exchange.CatchUpAsk{Config: w.configVersion()}
 		w.client.catchUp(g.Address, ask, func(r exchange.CatchUpReply, err error) {
 			offerResult(w.inbox, watchMessage{caughtUp: &caughtUp{instance: g.Instance, timeline: timeline, reply: r, err: err}}, w.log)
 		})
@@ -70,7 +67,7 @@
 	if next.Version != m.reply.Config {
 		return &exchange.ConfigMismatchError{Told: m.reply.Config, Found: next.Version}
 	}
-	if w.config != nil && next.Version <= w.config.Version {
+	if next.Version <= w.configVersion() {
 		return nil
 	}
 	w.setConfig(&configCopy{Catalog: next, value: m.reply.Value, timeline: m.reply.Timeline, source: m.instance})
--- a/daemon/entry/watch_config.go
+++ b/daemon/entry/watch_config.go
@@ -27,6 +27,14 @@
 	}
 }
 
+// configVersion returns the version of the configuration that is known; 0 if none is.
+func (w *watch) configVersion() uint64 {
+	if w.config == nil {
+		return 0
+	}
+	return w.config.Version
+}
+
 // setConfig takes over a configuration that is newer than what is known.
 func (w *watch) setConfig(next *configCopy) {
 	w.config = next
--- a/serving/exchange/catch_up.go
+++ b/serving/exchange/catch_up.go
@@ -153,17 +153,17 @@
 	case c.isInUse || !IsRestored(c.timeline):
 		return Unquestioned
 	case c.newest > c.own:
-		return c.waits(max(c.newestAt, c.readAt), rewriteTimeout, AwaitsConfig, NoConfig, now)
+		return waits(max(c.newestAt, c.readAt), rewriteTimeout, AwaitsConfig, NoConfig, now)
 	case c.peersTimeline < c.timeline:
-		return c.waits(c.readAt, peersTimeout, AwaitsPeers, NoPeers, now)
+		return waits(c.readAt, peersTimeout, AwaitsPeers, NoPeers, now)
 	case c.isAnswered():
 		return Confirmed
 	}
-	return c.waits(max(c.peersAt, c.readAt), answersTimeout, AwaitsAnswers, NoAnswers, now)
+	return waits(max(c.peersAt, c.readAt), answersTimeout, AwaitsAnswers, NoAnswers, now)
 }
 
 // waits returns one standing until a time has passed, and another one from then on.
-func (c *CatchUp) waits(since clock.Instant, limit time.Duration, until, after Standing, now clock.Instant) Standing {
+func waits(since clock.Instant, limit time.Duration, until, after Standing, now clock.Instant) Standing {
 	if now.Sub(since) >= limit {
 		return after
 	}
