--- a/daemon/entry/watch_catch_up.go
+++ b/daemon/entry/watch_catch_up.go
@@ -28,7 +28,7 @@
 			w.catchUp.Failed(g.Instance, timeline, false, now)
 			continue
 		}
-		ask := exchange.CatchUpAsk{Config: w.configVersion()}
+		ask := exchange.CatchUpAsk{Config: w.configVersion(), Timeline: timeline}
 		w.client.catchUp(g.Address, ask, func(r exchange.CatchUpReply, err error) {
 			offerResult(w.inbox, watchMessage{caughtUp: &caughtUp{instance: g.Instance, timeline: timeline, reply: r, err: err}}, w.log)
 		})
@@ -54,9 +54,24 @@
 		outcome = catchUpTaken
 	}
 	w.metrics.recordCatchUp(outcome)
+	if m.timeline == w.catchUp.Timeline() {
+		w.hearFormer(m, now)
+	}
 	w.catchUp.Answered(m.instance, m.timeline, m.reply.Config, now)
 }
 
+// hearFormer takes over what another gateway knows of upstreams from before the present
+// timeline.
+func (w *watch) hearFormer(m *caughtUp, now clock.Instant) {
+	f := m.reply.Former
+	if !w.roster.Hear(f, now) {
+		return
+	}
+	w.upstreamsChanged = true
+	w.log.Info().Str("gateway", m.instance).Int("leaving", len(f.Leaving)).Int("departed", len(f.Departed)).
+		Uint64("timeline", m.timeline).Msg("upstreams_heard")
+}
+
 // takeConfig takes over the configuration that another gateway has handed over, unless it has
 // become known meanwhile.
 func (w *watch) takeConfig(m *caughtUp) error {
@@ -82,7 +97,7 @@
 }
 
 // answerCatchUp tells another gateway which configuration this one uses, and hands it over if
-// it is newer than what the other one has.
+// it is newer than what the other one has, and what this one knows of upstreams.
 func (w *watch) answerCatchUp(x *httpd.Exchange) {
 	ask, err := exchange.DecodeCatchUpAsk(x.Body)
 	if err != nil {
@@ -90,7 +105,8 @@
 		w.reply(x, http.StatusBadRequest, nil)
 		return
 	}
-	var reply exchange.CatchUpReply
+	isBehind := w.tables[served.UpstreamTable].cursor.Position().Timeline < ask.Timeline
+	reply := exchange.CatchUpReply{Former: w.roster.Former(isBehind)}
 	if c := w.configInUse(); c != nil {
 		reply.Config, reply.Timeline = c.Version, c.timeline
 		if c.Version > ask.Config {
--- a/proof/entry/catch_up_test.go
+++ b/proof/entry/catch_up_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sycamorecourse/sycamorecourse/coord/clock"
 	"github.com/sycamorecourse/sycamorecourse/standin/operator"
+	"github.com/sycamorecourse/sycamorecourse/standin/replica"
 )
 
 const (
@@ -107,3 +108,28 @@
 		}
 	})
 })
+
+// Guards against a gateway that starts on a store which went back and sends requests to
+// upstreams that had left, though the other gateways know (review/14).
+var _ = Describe("Upstreams that had left before a store was restored (review/14)", func() {
+	for count := 1; count <= 3; count++ {
+		It(fmt.Sprintf("get no request of gateways that start while it is away, %d of 4", count), func() {
+			d := startDrillSite(true)
+			d.upstream("app", replica.Config{ID: "b"})
+			d.isUsed("b")
+			copied := d.now()
+			d.remove("b")
+			time.Sleep(knownTime)
+			started := d.startInDrill(copied, count, 2*settledTime)
+			served := time.Now().Add(serveTime)
+			for time.Since(served) < settledTime {
+				for _, g := range started {
+					g.ask("POST", "/safe/x", "key", "b")
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			Expect(d.late("b", served)).To(BeEmpty())
+			Expect(d.late("a", served)).NotTo(BeEmpty())
+		})
+	}
+})
--- a/serving/exchange/catch_up_reply.go
+++ b/serving/exchange/catch_up_reply.go
@@ -1,5 +1,7 @@
 package exchange
 
+import "github.com/sycamorecourse/sycamorecourse/serving/roster"
+
 // CatchUpReply is the response to a CatchUpAsk.
 type CatchUpReply struct {
 	// Config is the version of the configuration that the sender uses; 0 if none.
@@ -10,4 +12,6 @@
 	// Value is that configuration as the operator has written it, if the sender of the
 	// CatchUpAsk has an older one or none.
 	Value []byte `cbor:"3,keyasint,omitempty"`
+	// Former is what the sender knows of upstreams from before the Timeline of the CatchUpAsk.
+	Former roster.Former `cbor:"4,keyasint,omitempty"`
 }
--- a/serving/roster/roster.go
+++ b/serving/roster/roster.go
@@ -15,6 +15,8 @@
 type Roster struct {
 	grace   time.Duration
 	entries map[string]*catalog.Upstream
+	// hasList is set once a list has been read.
+	hasList bool
 	// lapsed are the upstreams that lost their entries in the grace period.
 	lapsed map[string]lapsedEntry
 	// withheld are the upstreams whose entries are not believed for a time.
@@ -77,8 +79,13 @@
 // removed.
 func (r *Roster) Replace(list map[string]*catalog.Upstream, now clock.Instant) {
 	r.removeMissing(list, now)
+	isFirst := !r.hasList
+	r.hasList = true
 	for _, u := range list {
-		if !r.isWithheld(u) {
+		switch {
+		case isFirst:
+			r.setFirst(u, now)
+		case !r.isWithheld(u):
 			r.Set(u)
 		}
 	}
