--- a/serving/roster/lapsed_entry.go
+++ b/serving/roster/lapsed_entry.go
@@ -10,4 +10,7 @@
 type lapsedEntry struct {
 	upstream  *catalog.Upstream
 	expiresAt clock.Instant
+	// isLost is set if all that is known is that a copy, from which the store was restored,
+	// lacks the entry.
+	isLost bool
 }
--- a/serving/roster/restore.go
+++ b/serving/roster/restore.go
@@ -19,7 +19,8 @@
 // Restore replaces all entries by the first list of a store that was restored from an older
 // copy. What was known of an incarnation is not taken back: one that was leaving stays so,
 // and one whose entry had ended is withheld until the store has a change of it. Entries
-// that the list lacks lapse, as after an outage: the store was back at since.
+// that the list lacks lapse, as after an outage: the store was back at since. They do not
+// count as ended.
 func (r *Roster) Restore(list map[string]*catalog.Upstream, since, now clock.Instant) Restored {
 	r.storeRecoveredAt, r.unavailableSince = since, 0
 	r.dropDepartures(now)
@@ -27,7 +28,7 @@
 	r.keepLeaving(now)
 	var result Restored
 	lapsed := len(r.lapsed)
-	r.removeMissing(list, now)
+	r.dropMissing(list, true, now)
 	result.Lapsed = max(len(r.lapsed)-lapsed, 0)
 	for _, u := range list {
 		incarnation := IncarnationOf(u)
--- a/serving/roster/roster.go
+++ b/serving/roster/roster.go
@@ -78,7 +78,7 @@
 // Replace replaces all entries by list. Entries that are not in it count as
 // removed.
 func (r *Roster) Replace(list map[string]*catalog.Upstream, now clock.Instant) {
-	r.removeMissing(list, now)
+	r.dropMissing(list, false, now)
 	isFirst := !r.hasList
 	r.hasList = true
 	for _, u := range list {
@@ -91,11 +91,12 @@
 	}
 }
 
-// removeMissing removes the entries that a list lacks.
-func (r *Roster) removeMissing(list map[string]*catalog.Upstream, now clock.Instant) {
+// dropMissing drops the entries that a list lacks, since they were removed or since it is
+// that of a copy that has lost them.
+func (r *Roster) dropMissing(list map[string]*catalog.Upstream, isLost bool, now clock.Instant) {
 	for id := range r.entries {
 		if list[id] == nil {
-			r.Remove(id, now)
+			r.lapse(id, isLost, now)
 		}
 	}
 	for id := range r.withheld {
@@ -160,18 +161,37 @@
 // Remove removes an entry. In the grace period the upstream stays usable until
 // the period ends, unless it was leaving.
 func (r *Roster) Remove(id string, now clock.Instant) {
+	if l, ok := r.lapsed[id]; ok {
+		l.isLost = false
+		r.lapsed[id] = l
+	}
+	r.lapse(id, false, now)
+}
+
+// lapse does what Remove does with an entry that was removed, or that a copy has lost.
+func (r *Roster) lapse(id string, isLost bool, now clock.Instant) {
 	u := r.entries[id]
 	delete(r.entries, id)
 	delete(r.withheld, id)
 	if u == nil {
 		return
 	}
-	until := r.storeRecoveredAt.Add(r.grace)
-	if u.Draining || r.storeRecoveredAt == 0 || !now.Before(until) {
-		r.depart(u, now)
+	l := lapsedEntry{upstream: u, expiresAt: r.storeRecoveredAt.Add(r.grace), isLost: isLost}
+	if u.Draining || r.storeRecoveredAt == 0 || !now.Before(l.expiresAt) {
+		r.expire(l, now)
 		return
 	}
-	r.lapsed[id] = lapsedEntry{upstream: u, expiresAt: until}
+	r.lapsed[id] = l
+}
+
+// expire ends the use of an upstream without an entry.
+func (r *Roster) expire(l lapsedEntry, now clock.Instant) {
+	delete(r.lapsed, l.upstream.ID)
+	// An entry that a copy lacks may have been written after the copy was made, and may come
+	// back with the next one: that it has not been written again in time is no end.
+	if !l.isLost || l.upstream.Draining {
+		r.depart(l.upstream, now)
+	}
 }
 
 // Usable returns the upstreams that may receive requests: those with an entry
@@ -184,10 +204,9 @@
 			list = append(list, u)
 		}
 	}
-	for id, l := range r.lapsed {
+	for _, l := range r.lapsed {
 		if !now.Before(l.expiresAt) {
-			delete(r.lapsed, id)
-			r.depart(l.upstream, now)
+			r.expire(l, now)
 			continue
 		}
 		list = append(list, l.upstream)
