--- a/serving/roster/roster.go
+++ b/serving/roster/roster.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// dropMissing drops the entries that a list lacks, since they were removed or since it is
-// that of a copy that has lost them.
+// dropMissing drops the entries that a list lacks. isLost says that it is that of a copy which
+// may have lost them, and not that they were removed.
 func (r *Roster) dropMissing(list map[string]*catalog.Upstream, isLost bool, now clock.Instant) {
 	for id := range r.entries {
 		if list[id] == nil {
@@ -161,6 +161,7 @@
 // Remove removes an entry. In the grace period the upstream stays usable until
 // the period ends, unless it was leaving.
 func (r *Roster) Remove(id string, now clock.Instant) {
+	// A removal of what a copy has lost is real.
 	if l, ok := r.lapsed[id]; ok {
 		l.isLost = false
 		r.lapsed[id] = l
@@ -168,7 +169,8 @@
 	r.lapse(id, false, now)
 }
 
-// lapse does what Remove does with an entry that was removed, or that a copy has lost.
+// lapse takes an entry out of the list, and keeps its upstream usable for the rest of the grace
+// period unless it was leaving. isLost says that a copy has lost it, and not that it was removed.
 func (r *Roster) lapse(id string, isLost bool, now clock.Instant) {
 	u := r.entries[id]
 	delete(r.entries, id)
